--- /dev/null
+++ b/include/crocusport/transport/httpclient.h
@@ -0,0 +1,130 @@
+#ifndef CROCUSPORT_HTTPCLIENT_H
+#define CROCUSPORT_HTTPCLIENT_H
+
+#include "crocusport/state/error.h"
+#include "crocusport/state/identifiers.h"
+#include "crocusport/state/instant.h"
+#include "crocusport/transport/httpexchange.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace crocusport {
+
+class EventLoop;
+
+//! Which connection a call uses.
+enum class ConnectionUse { Pooled, Fresh };
+
+//! One call to an HTTP server.
+struct HttpCallRequest
+{
+    SocketAddress address;
+    std::string method = "GET";
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+    ConnectionUse connection = ConnectionUse::Pooled;
+    Duration connectTimeout = std::chrono::seconds(1);
+    Duration progressTimeout = std::chrono::seconds(30); //!< Longest time without a byte received.
+    std::size_t maxResponseBytes = 64 * 1024 * 1024;     //!< Of the whole response body.
+};
+
+//! How a call failed; None when the response is complete.
+enum class HttpFailure {
+    None,
+    ConnectFailed,        //!< No connection: the server has received nothing.
+    ClosedBeforeResponse, //!< Bytes may have been received; no response began.
+    ClosedMidResponse,
+    ProgressTimeout,
+    Malformed,
+    TooLarge,
+};
+
+//! Returns a stable name for logs. Safe from any thread.
+std::string_view httpFailureName(HttpFailure failure);
+
+//! End of a call.
+struct HttpCallEnd
+{
+    HttpFailure failure = HttpFailure::None;
+    int status = 0;             //!< 0 when no response head arrived.
+    bool isRequestSent = false; //!< Whether any byte of the request may have left.
+};
+
+//! Functions called as a response arrives. onEnd is called exactly once unless cancelled.
+struct HttpCallHandlers
+{
+    std::function<void(int status, const HttpHeaders &headers)> onHead;
+    std::function<void(std::string_view data)> onBody;
+    std::function<void(const HttpCallEnd &end)> onEnd;
+};
+
+/*!
+    A call in progress. Destroying it cancels the call: closes its connection, which tells the
+    server, and calls no handler any more.
+
+    Thread safety: loop thread only.
+*/
+class HttpCall
+{
+public:
+    ~HttpCall();
+    HttpCall(const HttpCall &) = delete;
+    HttpCall &operator=(const HttpCall &) = delete;
+
+    bool isEnded() const;
+
+private:
+    friend class HttpClient;
+    HttpCall();
+
+    struct Private;
+    std::shared_ptr<Private> d_;
+};
+
+/*!
+    An HTTP/1.1 client on evhttp with a pool of idle connections for each address.
+
+    A call is sent at most once: a pooled connection that turns out closed is reported as
+    ClosedBeforeResponse and never retried here.
+
+    Thread safety: loop thread only. The loop must outlive the client.
+*/
+class HttpClient
+{
+public:
+    struct Options
+    {
+        Duration maxIdle =
+            std::chrono::seconds(30); //!< Idle connections older than this are closed.
+        std::size_t maxIdlePerAddress = 64;
+    };
+
+    HttpClient(EventLoop &loop, const Options &options);
+    ~HttpClient();
+
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /*!
+        Starts a call. Handlers run from the loop, never before this returns. A handler may destroy
+        the returned call.
+    */
+    std::unique_ptr<HttpCall> start(HttpCallRequest request, HttpCallHandlers handlers);
+    //! Closes the idle connections to \a address.
+    void closeIdle(const SocketAddress &address);
+    std::size_t idleConnections() const;
+
+private:
+    struct Private;
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_HTTPCLIENT_H
--- /dev/null
+++ b/include/crocusport/transport/httpexchange.h
@@ -0,0 +1,71 @@
+#ifndef CROCUSPORT_HTTPEXCHANGE_H
+#define CROCUSPORT_HTTPEXCHANGE_H
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct evhttp_request;
+
+namespace crocusport {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/*!
+    One request that a server has received and its answer: either reply(), or startStream(),
+    sendChunk() any number of times and endStream().
+
+    After the caller has left, all sending methods do nothing. Header names and values that contain
+    line breaks or NUL are dropped, so that no input can inject a header (RFC 9110 section 5.5).
+
+    Thread safety: loop thread only.
+*/
+class HttpExchange
+{
+public:
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+    ~HttpExchange();
+
+    std::string_view method() const;
+    //! Path without query, not decoded.
+    std::string_view path() const;
+    //! Value of a query parameter, decoded.
+    std::optional<std::string> queryParameter(const std::string &name) const;
+    //! Value of a request header; names compare without case.
+    std::optional<std::string> header(const std::string &name) const;
+    const std::string &body() const;
+
+    //! Sends a whole answer. Precondition: nothing sent yet.
+    void reply(int status, const HttpHeaders &headers, std::string_view body);
+    //! Sends the head of a chunked answer. Precondition: nothing sent yet.
+    void startStream(int status, const HttpHeaders &headers);
+    //! Precondition: startStream() was called, endStream() not.
+    void sendChunk(std::string_view data);
+    void endStream();
+    //! Drops the connection without ending the answer, so that a cut answer is recognisable.
+    void abort();
+
+    //! Bytes accepted by sendChunk() that the socket has not taken yet.
+    std::size_t bufferedBytes() const;
+    //! Calls \a handler once when the caller has left before the answer was complete.
+    void onClosed(std::function<void()> handler);
+    bool isClosed() const;
+    bool isStarted() const;
+
+private:
+    friend class HttpServer;
+    HttpExchange();
+
+    struct Private;
+    std::unique_ptr<Private> d_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_HTTPEXCHANGE_H
