--- /dev/null
+++ b/include/crocusport/protocol/configurationdocument.h
@@ -0,0 +1,31 @@
+#ifndef CROCUSPORT_CONFIGURATIONDOCUMENT_H
+#define CROCUSPORT_CONFIGURATIONDOCUMENT_H
+
+#include "crocusport/state/configuration.h"
+#include "crocusport/state/error.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace crocusport {
+
+//! Largest value that the key-value service takes.
+inline constexpr std::size_t kMaxConfigurationBytes = 1'048'576;
+
+/*!
+    Reads a configuration as it stands in the store. Unknown fields are ignored, so that routers of
+    an older version adopt what newer ones publish. Fails with MalformedMessage or
+    ConfigurationTooLarge. Safe from any thread.
+*/
+Result<Configuration> parseConfigurationDocument(std::string_view text);
+
+/*!
+    Returns \a configuration as JSON; equal configurations give equal texts. The caller checks the
+    size against kMaxConfigurationBytes. Safe from any thread.
+*/
+std::string writeConfigurationDocument(const Configuration &configuration);
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_CONFIGURATIONDOCUMENT_H
--- a/src/protocol/keytable.cpp
+++ b/src/protocol/keytable.cpp
@@ -24,6 +24,15 @@
     return numberText(key.min) + " to " + numberText(key.max);
 }
 
+bool isNameText(const std::string &text)
+{
+    return std::all_of(text.begin(), text.end(), [](unsigned char character) {
+        return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+            || (character >= '0' && character <= '9') || character == '.' || character == '_'
+            || character == '-';
+    });
+}
+
 //! What was found, without the content of a secret.
 std::string describeFound(const KeyDescription &key, const TomlValue &value)
 {
@@ -63,6 +72,8 @@
 bool isAllowedText(const KeyDescription &key, const std::string &text)
 {
     switch (key.type) {
+    case KeyType::Name:
+        return isInRange(key, static_cast<double>(text.size())) && isNameText(text);
     case KeyType::Address:
         return isSocketAddressText(text);
     case KeyType::Choice:
@@ -105,6 +116,7 @@
         if (texts && isAllowedList(key, *texts))
             return *texts;
         break;
+    case KeyType::Name:
     case KeyType::Text:
     case KeyType::Secret:
     case KeyType::Address:
@@ -133,6 +145,9 @@
 {
     std::string allowed;
     switch (key.type) {
+    case KeyType::Name:
+        allowed = "a name of " + rangeText(key) + " letters, digits, '.', '_' or '-'";
+        break;
     case KeyType::Text:
         allowed = "a text of " + rangeText(key) + " bytes without control characters";
         break;
@@ -193,6 +208,17 @@
     }
 }
 
+std::string keyReference(const KeyDescription &key)
+{
+    std::string defaultText = "none";
+    if (key.need == KeyNeed::Required)
+        defaultText = "required";
+    else if (!key.defaultText.empty())
+        defaultText = '`' + std::string(key.defaultText) + '`';
+    return "| `" + std::string(key.name) + "` | " + defaultText + " | " + describeAllowed(key)
+        + " | " + std::string(key.description) + " |\n";
+}
+
 std::string joinFaults(const Faults &faults)
 {
     std::string joined;
--- a/src/protocol/keytable.h
+++ b/src/protocol/keytable.h
@@ -16,7 +16,7 @@
 
 namespace crocusport {
 
-enum class KeyType { Text, Secret, Integer, Number, Address, AddressList, TextList, Choice };
+enum class KeyType { Name, Text, Secret, Integer, Number, Address, AddressList, TextList, Choice };
 
 //! Whether a key must be given.
 enum class KeyNeed { Required, Optional };
@@ -47,6 +47,44 @@
     void (*store)(Target &target, const KeyValue &value) = nullptr;
 };
 
+inline constexpr double kMaxNameBytes = 64;
+
+template<typename Target>
+KeyEntry<Target> nameEntry(std::string_view name, std::string_view description,
+                           void (*store)(Target &, const KeyValue &))
+{
+    return { { name, KeyType::Name, KeyNeed::Required, {}, {}, 1, kMaxNameBytes, {}, description },
+             store };
+}
+
+template<typename Target>
+KeyEntry<Target>
+integerEntry(std::string_view name, std::string_view unit, std::string_view defaultText, double min,
+             double max, std::string_view description, void (*store)(Target &, const KeyValue &))
+{
+    return {
+        { name, KeyType::Integer, KeyNeed::Optional, unit, defaultText, min, max, {}, description },
+        store
+    };
+}
+
+template<typename Target>
+KeyEntry<Target> choiceEntry(std::string_view name, KeyNeed need, std::string_view defaultText,
+                             std::span<const std::string_view> choices,
+                             std::string_view description,
+                             void (*store)(Target &, const KeyValue &))
+{
+    return { { name, KeyType::Choice, need, {}, defaultText, 0, 0, choices, description }, store };
+}
+
+//! Returns which of \a choices \a value is. Precondition: it is one of them.
+template<typename Enum>
+Enum choiceOf(std::span<const std::string_view> choices, const KeyValue &value)
+{
+    return static_cast<Enum>(std::find(choices.begin(), choices.end(), std::get<std::string>(value))
+                             - choices.begin());
+}
+
 //! Converts a checked value to the type of the member that holds it. Safe from any thread.
 template<typename Member>
 void assignKeyValue(Member &member, const KeyValue &value)
@@ -90,6 +128,16 @@
     TOML; lists are separated by commas. Safe from any thread.
 */
 TomlValue tomlValueFromText(const KeyDescription &key, std::string_view text);
+//! Returns a row, or the whole, of a reference table in Markdown. Safe from any thread.
+std::string keyReference(const KeyDescription &key);
+template<typename Target>
+std::string keyReference(std::span<const KeyEntry<Target>> entries)
+{
+    std::string text = "| key | default | allowed | description |\n|---|---|---|---|\n";
+    for (const auto &entry : entries)
+        text += keyReference(entry.description);
+    return text;
+}
 //! Returns \a faults in one text, one on each line. Safe from any thread.
 std::string joinFaults(const Faults &faults);
 
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -16,7 +16,6 @@
     std::string peerKeyFile;
 };
 
-constexpr double kMaxNameBytes = 64;
 constexpr double kMaxAddresses = 64;
 constexpr double kMinKeyBytes = 16;
 constexpr double kMaxKeyBytes = 1024;
@@ -36,33 +35,19 @@
 template<auto... path>
 constexpr Store kStore = storeTo<Draft, &Draft::settings, path...>;
 
-Entry textEntry(std::string_view name, std::string_view description, Store store)
-{
-    return { { name, KeyType::Text, KeyNeed::Required, {}, {}, 1, kMaxNameBytes, {}, description },
-             store };
-}
-
 Entry addressEntry(std::string_view name, std::string_view description, Store store)
 {
     return { { name, KeyType::Address, KeyNeed::Required, {}, {}, 0, 0, {}, description }, store };
 }
 
-Entry integerEntry(std::string_view name, std::string_view unit, std::string_view defaultText,
-                   double min, double max, std::string_view description, Store store)
-{
-    return {
-        { name, KeyType::Integer, KeyNeed::Optional, unit, defaultText, min, max, {}, description },
-        store
-    };
-}
-
 std::vector<Entry> identityEntries()
 {
     return {
-        textEntry("router", "Name of this router, unique in the fleet.", kStore<&Settings::router>),
-        textEntry("region", "Region of this router.", kStore<&Settings::region>),
-        textEntry("availability_zone", "Availability zone of this router.",
-                  kStore<&Settings::zone>),
+        nameEntry<Draft>("router", "Name of this router, unique in the fleet.",
+                         kStore<&Settings::router>),
+        nameEntry<Draft>("region", "Region of this router.", kStore<&Settings::region>),
+        nameEntry<Draft>("availability_zone", "Availability zone of this router.",
+                         kStore<&Settings::zone>),
     };
 }
 
@@ -129,78 +114,63 @@
 std::vector<Entry> policyEntries()
 {
     return {
-        { { "policy.queue",
-            KeyType::Choice,
-            KeyNeed::Optional,
-            {},
-            "holder",
-            0,
-            0,
-            kQueuePolicies,
-            "Where requests queue; the last two are baselines for measurements." },
-          [](Draft &draft, const KeyValue &value) {
-              draft.settings.queuePolicy =
-                  queuePolicyFromName(std::get<std::string>(value)).value_or(QueuePolicy::Holder);
-          } },
-        { { "log_level",
-            KeyType::Choice,
-            KeyNeed::Optional,
-            {},
-            "info",
-            0,
-            0,
-            kLogLevels,
-            "Least severity of the events that are logged." },
-          [](Draft &draft, const KeyValue &value) {
-              const auto *const found =
-                  std::find(kLogLevels.begin(), kLogLevels.end(), std::get<std::string>(value));
-              draft.settings.logLevel = static_cast<LogLevel>(found - kLogLevels.begin());
-          } },
-        integerEntry("shutdown.delay_ms", "ms", "3000", 0, 10 * kMinuteMs,
-                     "Time from the failing readiness check to the last accepted request.",
-                     kStore<&Settings::shutdownDelay>),
+        choiceEntry<Draft>("policy.queue", KeyNeed::Optional, "holder", kQueuePolicies,
+                           "Where requests queue; the last two are baselines for measurements.",
+                           [](Draft &draft, const KeyValue &value) {
+                               draft.settings.queuePolicy =
+                                   choiceOf<QueuePolicy>(kQueuePolicies, value);
+                           }),
+        choiceEntry<Draft>("log_level", KeyNeed::Optional, "info", kLogLevels,
+                           "Least severity of the events that are logged.",
+                           [](Draft &draft, const KeyValue &value) {
+                               draft.settings.logLevel = choiceOf<LogLevel>(kLogLevels, value);
+                           }),
+        integerEntry<Draft>("shutdown.delay_ms", "ms", "3000", 0, 10 * kMinuteMs,
+                            "Time from the failing readiness check to the last accepted request.",
+                            kStore<&Settings::shutdownDelay>),
     };
 }
 
 std::vector<Entry> limitEntries()
 {
     return {
-        integerEntry("limits.max_head_bytes", "bytes", "16384", 1024, 1'048'576,
-                     "Largest head of a caller's request.",
-                     kStore<&Settings::limits, &LimitSettings::maxHeadBytes>),
-        integerEntry("limits.max_body_bytes", "bytes", "4194304", 1024, kGibibyte,
-                     "Largest body of a caller's request.",
-                     kStore<&Settings::limits, &LimitSettings::maxBodyBytes>),
-        integerEntry("limits.max_connections", "", "10000", 1, 1'000'000,
-                     "Most open connections of callers.",
-                     kStore<&Settings::limits, &LimitSettings::maxConnections>),
-        integerEntry("limits.max_response_bytes", "bytes", "67108864", 1024, kGibibyte,
-                     "Largest response of a backend server.",
-                     kStore<&Settings::limits, &LimitSettings::maxResponseBytes>),
-        integerEntry("limits.max_streams", "", "5000", 1, 1'000'000,
-                     "Most requests in progress at the same time.",
-                     kStore<&Settings::limits, &LimitSettings::maxStreams>),
-        integerEntry("limits.idle_timeout_ms", "ms", "60000", 100, kHourMs,
-                     "Time after which a caller's idle connection is closed.",
-                     kStore<&Settings::limits, &LimitSettings::idleTimeout>),
+        integerEntry<Draft>("limits.max_head_bytes", "bytes", "16384", 1024, 1'048'576,
+                            "Largest head of a caller's request.",
+                            kStore<&Settings::limits, &LimitSettings::maxHeadBytes>),
+        integerEntry<Draft>("limits.max_body_bytes", "bytes", "4194304", 1024, kGibibyte,
+                            "Largest body of a caller's request.",
+                            kStore<&Settings::limits, &LimitSettings::maxBodyBytes>),
+        integerEntry<Draft>("limits.max_connections", "", "10000", 1, 1'000'000,
+                            "Most open connections of callers.",
+                            kStore<&Settings::limits, &LimitSettings::maxConnections>),
+        integerEntry<Draft>("limits.max_response_bytes", "bytes", "67108864", 1024, kGibibyte,
+                            "Largest response of a backend server.",
+                            kStore<&Settings::limits, &LimitSettings::maxResponseBytes>),
+        integerEntry<Draft>("limits.max_streams", "", "5000", 1, 1'000'000,
+                            "Most requests in progress at the same time.",
+                            kStore<&Settings::limits, &LimitSettings::maxStreams>),
+        integerEntry<Draft>("limits.idle_timeout_ms", "ms", "60000", 100, kHourMs,
+                            "Time after which a caller's idle connection is closed.",
+                            kStore<&Settings::limits, &LimitSettings::idleTimeout>),
     };
 }
 
 std::vector<Entry> timeoutEntries()
 {
     return {
-        integerEntry("timeouts.connect_ms", "ms", "1000", 1, kMinuteMs,
-                     "Longest time to open a connection to a backend server.",
-                     kStore<&Settings::timeouts, &TimeoutSettings::connect>),
-        integerEntry("timeouts.store_ms", "ms", "500", 1, kMinuteMs,
-                     "Longest time for an answer of the key-value service.",
-                     kStore<&Settings::timeouts, &TimeoutSettings::store>),
-        integerEntry("timeouts.progress_ms", "ms", "5000", 1, kHourMs,
-                     "Least time without a byte after which a stream's backend server is probed.",
-                     kStore<&Settings::timeouts, &TimeoutSettings::progress>),
-        integerEntry("timeouts.holder_ack_ms", "ms", "20", 1, kMinuteMs,
-                     "Time after which a router decides without the pool's holder.",
-                     kStore<&Settings::timeouts, &TimeoutSettings::holderAck>),
+        integerEntry<Draft>("timeouts.connect_ms", "ms", "1000", 1, kMinuteMs,
+                            "Longest time to open a connection to a backend server.",
+                            kStore<&Settings::timeouts, &TimeoutSettings::connect>),
+        integerEntry<Draft>("timeouts.store_ms", "ms", "500", 1, kMinuteMs,
+                            "Longest time for an answer of the key-value service.",
+                            kStore<&Settings::timeouts, &TimeoutSettings::store>),
+        integerEntry<Draft>(
+            "timeouts.progress_ms", "ms", "5000", 1, kHourMs,
+            "Least time without a byte after which a stream's backend server is probed.",
+            kStore<&Settings::timeouts, &TimeoutSettings::progress>),
+        integerEntry<Draft>("timeouts.holder_ack_ms", "ms", "20", 1, kMinuteMs,
+                            "Time after which a router decides without the pool's holder.",
+                            kStore<&Settings::timeouts, &TimeoutSettings::holderAck>),
     };
 }
 
@@ -288,18 +258,7 @@
 
 std::string Settings::reference()
 {
-    std::string text = "| key | default | allowed | description |\n|---|---|---|---|\n";
-    for (const auto &entry : entries()) {
-        const auto &key = entry.description;
-        std::string defaultText = "none";
-        if (key.need == KeyNeed::Required)
-            defaultText = "required";
-        else if (!key.defaultText.empty())
-            defaultText = '`' + std::string(key.defaultText) + '`';
-        text += "| `" + std::string(key.name) + "` | " + defaultText + " | " + describeAllowed(key)
-            + " | " + std::string(key.description) + " |\n";
-    }
-    return text;
+    return keyReference<Draft>(entries());
 }
 
 } // namespace crocusport
--- a/tests/protocol/testsettings.cpp
+++ b/tests/protocol/testsettings.cpp
@@ -113,8 +113,8 @@
         THEN("a missing key is a fault")
         {
             REQUIRE(faultsOf(replaced(kSettings, "router = \"r1\"", ""))
-                    == "r.toml: router is missing; allowed is a text of 1 to 64 bytes without "
-                       "control characters");
+                    == "r.toml: router is missing; allowed is a name of 1 to 64 letters, "
+                       "digits, '.', '_' or '-'");
         }
     }
 
