Transport: Add HTTP server and client on evhttp

The daemon needs an HTTP server that notices a caller who leaves while its request waits, and a client that tells exactly how far a call came.

evhttp stops reading after a request. Reading is enabled again for the time of an exchange, but with the read callback removed: evhttp's own callback ends the process when pipelined bytes arrive in that state. Read-ahead is bounded.

The client sees the bytes that leave and arrive through callbacks on the connection's buffers, so ConnectFailed is reported only when none has left. A response that only the close ends is never complete, since a crash of the server looks the same.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -15,12 +15,17 @@
 
 namespace crocusport {
 
+class CallState;
+class ConnectionPool;
 class EventLoop;
 
 //! Which connection a call uses.
 enum class ConnectionUse { Pooled, Fresh };
 
-//! One call to an HTTP server.
+/*!
+    One call to an HTTP server. Host and Content-Length are added to the headers; headers that
+    contain line breaks or NUL are dropped.
+*/
 struct HttpCallRequest
 {
     SocketAddress address;
@@ -30,14 +35,14 @@
     std::string body;
     ConnectionUse connection = ConnectionUse::Pooled;
     Duration connectTimeout = std::chrono::seconds(1);
-    Duration progressTimeout = std::chrono::seconds(30); //!< Longest time without a byte received.
-    std::size_t maxResponseBytes = 64 * 1024 * 1024;     //!< Of the whole response body.
+    Duration progressTimeout = std::chrono::seconds(30); //!< Longest time without a byte moved.
+    std::size_t maxResponseBytes = 64UL * 1024 * 1024;   //!< Of the whole response body.
 };
 
 //! How a call failed; None when the response is complete.
 enum class HttpFailure {
     None,
-    ConnectFailed,        //!< No connection: the server has received nothing.
+    ConnectFailed,        //!< Nothing sent: no connection, or a request that cannot be sent.
     ClosedBeforeResponse, //!< Bytes may have been received; no response began.
     ClosedMidResponse,
     ProgressTimeout,
@@ -81,10 +86,9 @@
 
 private:
     friend class HttpClient;
-    HttpCall();
+    explicit HttpCall(std::shared_ptr<CallState> state);
 
-    struct Private;
-    std::shared_ptr<Private> d_;
+    std::shared_ptr<CallState> state_;
 };
 
 /*!
@@ -93,7 +97,12 @@
     A call is sent at most once: a pooled connection that turns out closed is reported as
     ClosedBeforeResponse and never retried here.
 
-    Thread safety: loop thread only. The loop must outlive the client.
+    A response that only the close of its connection ends is never complete: a server that crashes
+    ends it in the same way (RFC 9112 section 8). Its call ends with ClosedMidResponse after the
+    head and all of the body have been handed over.
+
+    Thread safety: loop thread only. The loop must outlive the client. Destroying the client cancels
+    its calls, and must not be done in one of its handlers.
 */
 class HttpClient
 {
@@ -121,8 +130,7 @@
     std::size_t idleConnections() const;
 
 private:
-    struct Private;
-    std::shared_ptr<Private> d_;
+    std::unique_ptr<ConnectionPool> pool_;
 };
 
 } // namespace crocusport
--- a/include/crocusport/transport/httpexchange.h
+++ b/include/crocusport/transport/httpexchange.h
@@ -10,18 +10,20 @@
 #include <utility>
 #include <vector>
 
-struct evhttp_request;
-
 namespace crocusport {
 
+class ServerConnection;
+
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
 /*!
     One request that a server has received and its answer: either reply(), or startStream(),
     sendChunk() any number of times and endStream().
 
-    After the caller has left, all sending methods do nothing. Header names and values that contain
-    line breaks or NUL are dropped, so that no input can inject a header (RFC 9110 section 5.5).
+    After the caller has left, all sending methods do nothing. Destroying an exchange that has no
+    answer sends status 500, and destroying one in mid-stream aborts it. Header names and values
+   that contain line breaks or NUL are dropped, so that no input can inject a header (RFC 9110
+   section 5.5).
 
     Thread safety: loop thread only.
 */
@@ -59,8 +61,10 @@
     bool isStarted() const;
 
 private:
-    friend class HttpServer;
+    friend class ServerConnection;
     HttpExchange();
+    void markClosed();
+    void markComplete();
 
     struct Private;
     std::unique_ptr<Private> d_;
--- a/include/crocusport/transport/httpserver.h
+++ b/include/crocusport/transport/httpserver.h
@@ -17,8 +17,8 @@
 //! Limits on what one caller may use.
 struct HttpServerLimits
 {
-    std::size_t maxHeadBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeadBytes = 16UL * 1024;
+    std::size_t maxBodyBytes = 4UL * 1024 * 1024;
     std::size_t maxConnections = 10'000;
     Duration idleTimeout = std::chrono::seconds(60); //!< No byte in or out.
 };
@@ -36,7 +36,7 @@
     /*!
         Listens on \a address ("ip:port"; port 0 takes a free one). Calls \a handler for each
         complete request. Answers 413 or 400 itself when a limit is passed or the input is
-       malformed. Fails with ListenFailed.
+        malformed. Fails with ListenFailed.
     */
     static Result<std::unique_ptr<HttpServer>> create(EventLoop &loop, const SocketAddress &address,
                                                       const HttpServerLimits &limits,
@@ -54,6 +54,7 @@
     std::size_t openExchanges() const;
 
 private:
+    friend class ServerConnection;
     HttpServer();
 
     struct Private;
--- a/include/crocusport/transport/peernetwork.h
+++ b/include/crocusport/transport/peernetwork.h
@@ -30,8 +30,8 @@
         MemberInfo self;       //!< address is set to the listening address when its port is 0.
         std::string sharedKey; //!< Peers must prove that they hold it.
         std::size_t maxLinks = 24;
-        std::size_t maxMessageBytes = 2 * 1024 * 1024;
-        std::size_t maxBufferedBytes = 8 * 1024 * 1024; //!< For each link; more closes it.
+        std::size_t maxMessageBytes = 2UL * 1024 * 1024;
+        std::size_t maxBufferedBytes = 8UL * 1024 * 1024; //!< For each link; more closes it.
         Duration handshakeTimeout = std::chrono::seconds(2);
     };
 
--- /dev/null
+++ b/src/transport/callstate.cpp
@@ -0,0 +1,158 @@
+#include "callstate.h"
+
+#include "crocusport/transport/eventloop.h"
+
+#include "clientconnection.h"
+
+#include <event2/buffer.h>
+
+#include <utility>
+
+namespace crocusport {
+
+CallState::CallState(EventLoop &loop, HttpCallRequest request, HttpCallHandlers handlers)
+    : loop_(loop), request_(std::move(request)), handlers_(std::move(handlers)),
+      timer_(loop, [this] { onTimer(); })
+{ }
+
+void CallState::begin(ClientConnection &connection, bool isConnected)
+{
+    connection_ = &connection;
+    if (isConnected)
+        markConnected();
+    else
+        timer_.startOnce(request_.connectTimeout);
+}
+
+void CallState::markConnected()
+{
+    isConnected_ = true;
+    lastMoved_ = monotonicNow();
+    timer_.startOnce(request_.progressTimeout);
+}
+
+void CallState::markSent()
+{
+    isSent_ = true;
+    lastMoved_ = monotonicNow();
+}
+
+void CallState::markReceived()
+{
+    isReceiving_ = true;
+    lastMoved_ = monotonicNow();
+}
+
+// The timer is not restarted with each byte: it looks at the time of the last one when it fires.
+void CallState::onTimer()
+{
+    if (!isConnected_) {
+        end(HttpFailure::ConnectFailed);
+        return;
+    }
+    const auto deadline = lastMoved_ + request_.progressTimeout;
+    const auto now = monotonicNow();
+    if (now >= deadline)
+        end(HttpFailure::ProgressTimeout);
+    else
+        timer_.startOnce(deadline - now);
+}
+
+// A handler may cancel the call, and with it would destroy itself, so that waits for its return.
+template<typename Function, typename... Arguments>
+void CallState::callHandler(const Function &handler, const Arguments &...arguments)
+{
+    if (!handler)
+        return;
+    isInHandler_ = true;
+    handler(arguments...);
+    isInHandler_ = false;
+    if (isEnded_)
+        handlers_ = {};
+}
+
+void CallState::deliverHead(int status, const HttpHeaders &headers, bool endsWithClose)
+{
+    if (isEnded_)
+        return;
+    status_ = status;
+    endsWithClose_ = endsWithClose;
+    callHandler(handlers_.onHead, status, headers);
+}
+
+void CallState::deliverBody(evbuffer *buffer)
+{
+    while (!isEnded_ && evbuffer_get_length(buffer) > 0) {
+        evbuffer_iovec extent {};
+        evbuffer_peek(buffer, -1, nullptr, &extent, 1);
+        bodyBytes_ += extent.iov_len;
+        if (bodyBytes_ > request_.maxResponseBytes) {
+            end(HttpFailure::TooLarge);
+            return;
+        }
+        callHandler(handlers_.onBody,
+                    std::string_view(static_cast<const char *>(extent.iov_base), extent.iov_len));
+        evbuffer_drain(buffer, extent.iov_len);
+    }
+}
+
+void CallState::finish()
+{
+    end(endsWithClose_ ? HttpFailure::ClosedMidResponse : HttpFailure::None);
+}
+
+void CallState::end(HttpFailure failure)
+{
+    if (isEnded_)
+        return;
+    detach();
+    HttpCallEnd result;
+    result.failure = failure;
+    result.status = status_;
+    result.isRequestSent = isSent_;
+    const auto handlers = std::exchange(handlers_, {});
+    // The handler may destroy the call, so nothing may follow this call.
+    if (handlers.onEnd)
+        handlers.onEnd(result);
+}
+
+void CallState::endLater(const std::shared_ptr<CallState> &state, HttpFailure failure)
+{
+    state->timer_.stop();
+    state->loop_.post([weak = std::weak_ptr<CallState>(state), failure] {
+        if (const auto waiting = weak.lock())
+            waiting->end(failure);
+    });
+}
+
+void CallState::cancel()
+{
+    if (isEnded_)
+        return;
+    detach();
+    if (!isInHandler_)
+        handlers_ = {};
+}
+
+void CallState::forgetConnection()
+{
+    connection_ = nullptr;
+    cancel();
+}
+
+HttpFailure CallState::closedFailure() const
+{
+    if (!isConnected_)
+        return HttpFailure::ConnectFailed;
+    return isReceiving_ ? HttpFailure::ClosedMidResponse : HttpFailure::ClosedBeforeResponse;
+}
+
+void CallState::detach()
+{
+    isEnded_ = true;
+    timer_.stop();
+    if (auto *const connection = std::exchange(connection_, nullptr))
+        connection->release();
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/transport/connectionpool.h
@@ -0,0 +1,57 @@
+#ifndef CROCUSPORT_CONNECTIONPOOL_H
+#define CROCUSPORT_CONNECTIONPOOL_H
+
+#include "crocusport/transport/httpclient.h"
+#include "crocusport/transport/timer.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace crocusport {
+
+class ClientConnection;
+
+/*!
+    The connections of one client: in use, idle for each address, and discarded.
+
+    Thread safety: loop thread only.
+*/
+class ConnectionPool
+{
+public:
+    ConnectionPool(EventLoop &loop, const HttpClient::Options &options);
+    ~ConnectionPool();
+
+    ConnectionPool(const ConnectionPool &) = delete;
+    ConnectionPool &operator=(const ConnectionPool &) = delete;
+
+    EventLoop &loop() { return loop_; }
+    //! Returns an idle connection, or a new one for ConnectionUse::Fresh or when none is idle.
+    Result<ClientConnection *> take(const SocketAddress &address, ConnectionUse use);
+    //! Makes \a connection idle. Precondition: taken.
+    void keep(ClientConnection &connection);
+    //! Destroys \a connection from the loop, since its functions may be running.
+    void discard(ClientConnection &connection);
+    void closeIdle(const SocketAddress &address);
+    std::size_t idleCount() const { return idleCount_; }
+
+private:
+    using Connections = std::vector<std::unique_ptr<ClientConnection>>;
+
+    void closeExpired();
+    void discardAt(Connections &connections, std::size_t index);
+
+    EventLoop &loop_;
+    HttpClient::Options options_;
+    std::unordered_map<ClientConnection *, std::unique_ptr<ClientConnection>> taken_;
+    std::unordered_map<SocketAddress, Connections> idle_; //!< Most recently used last.
+    Connections discarded_;
+    std::size_t idleCount_ = 0;
+    Timer discardTimer_;
+    Timer expiryTimer_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_CONNECTIONPOOL_H
--- /dev/null
+++ b/src/transport/socketaddresses.h
@@ -0,0 +1,37 @@
+#ifndef CROCUSPORT_SOCKETADDRESSES_H
+#define CROCUSPORT_SOCKETADDRESSES_H
+
+#include "crocusport/state/error.h"
+#include "crocusport/state/identifiers.h"
+
+#include <event2/listener.h>
+
+#include <cstdint>
+#include <string>
+
+namespace crocusport {
+
+//! The parts of "ip:port" or "[ip]:port".
+struct HostAndPort
+{
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+//! Splits \a address. Fails with BadSettings. Safe from any thread.
+Result<HostAndPort> splitSocketAddress(const SocketAddress &address);
+//! Joins \a host and \a port; an IPv6 address gets brackets. Safe from any thread.
+SocketAddress joinSocketAddress(const std::string &host, std::uint16_t port);
+
+/*!
+    Listens on \a address; port 0 takes a free one. Accepted sockets go to \a callback, which may be
+    null until evconnlistener_set_cb(). Fails with ListenFailed. Loop thread only.
+*/
+Result<evconnlistener *> openListener(event_base *base, const SocketAddress &address,
+                                      evconnlistener_cb callback, void *argument);
+//! Returns the address that \a listener has, with the actual port. Loop thread only.
+SocketAddress listenerAddress(evconnlistener *listener);
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_SOCKETADDRESSES_H
--- a/src/transport/timer.cpp
+++ b/src/transport/timer.cpp
@@ -2,26 +2,15 @@
 
 #include "crocusport/transport/eventloop.h"
 
+#include "timevalue.h"
+
 #include <event2/event.h>
 
-#include <algorithm>
 #include <cassert>
 #include <utility>
 
 namespace crocusport {
 
-namespace {
-
-timeval toTimeval(Duration duration)
-{
-    const auto clamped = std::max(duration, Duration::zero());
-    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(clamped);
-    return { static_cast<time_t>(seconds.count()),
-             static_cast<suseconds_t>((clamped - seconds).count()) };
-}
-
-} // namespace
-
 Timer::Timer(EventLoop &loop, std::function<void()> handler)
     : event_(event_new(loop.base(), -1, EV_PERSIST, &Timer::onEvent, this)),
       handler_(std::move(handler))
