--- /dev/null
+++ b/include/crocusport/protocol/hostlistcodec.h
@@ -0,0 +1,38 @@
+#ifndef CROCUSPORT_HOSTLISTCODEC_H
+#define CROCUSPORT_HOSTLISTCODEC_H
+
+#include "crocusport/state/backendserver.h"
+#include "crocusport/state/error.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocusport {
+
+/*!
+    Reads the body of `GET /hosts` (docs/design.md section 8). Fails with MalformedMessage when any
+    entry is invalid, or a name occurs twice: part of a list would look like the other backend
+    servers having left. Safe from any thread.
+*/
+Result<std::vector<BackendServer>> parseHostList(std::string_view body);
+//! Returns what parseHostList() reads. Safe from any thread.
+std::string writeHostList(const std::vector<BackendServer> &servers);
+
+//! What a backend server says about itself.
+struct BackendHealth
+{
+    BackendServerState state = BackendServerState::Live;
+    StartNumber start;
+
+    bool operator==(const BackendHealth &) const = default;
+};
+
+//! Reads the body of a backend server's `GET /healthz`. Fails with MalformedMessage.
+Result<BackendHealth> parseBackendHealth(std::string_view body);
+//! Returns what parseBackendHealth() reads. Safe from any thread.
+std::string writeBackendHealth(const BackendHealth &health);
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_HOSTLISTCODEC_H
--- /dev/null
+++ b/src/protocol/hostlistcodec.cpp
@@ -0,0 +1,102 @@
+#include "crocusport/protocol/hostlistcodec.h"
+
+#include "jsonfields.h"
+#include "jsontext.h"
+#include "socketaddresstext.h"
+
+#include <unordered_set>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+constexpr std::uint32_t kMaxSlots = 100'000;
+
+struct HostList
+{
+    std::vector<BackendServer> hosts;
+};
+
+} // namespace
+
+template<>
+struct EnumNames<BackendServerState>
+{
+    static constexpr std::array<std::string_view, 2> kNames = { "live", "leaving" };
+};
+
+void describe(auto &fields, Is<BackendServer> auto &server)
+{
+    fields.required("name", server.name);
+    fields.required("address", server.address);
+    fields.required("availability_zone", server.zone);
+    fields.required("region", server.region);
+    fields.required("pool", server.pool);
+    fields.required("state", server.state);
+    fields.required("start", server.start);
+    fields.required("slots", server.slots);
+}
+
+void describe(auto &fields, Is<BackendHealth> auto &health)
+{
+    fields.required("state", health.state);
+    fields.required("start", health.start);
+}
+
+namespace {
+
+void describe(auto &fields, Is<HostList> auto &list)
+{
+    fields.required("hosts", list.hosts);
+}
+
+} // namespace
+
+Result<std::vector<BackendServer>> parseHostList(std::string_view body)
+{
+    BOOST_LEAF_AUTO(json, parseJsonObject(body, "host list", ResultCode::MalformedMessage));
+    HostList list;
+    FieldReader reader(json);
+    describe(reader, list);
+    if (!reader.error().empty())
+        return makeError(ResultCode::MalformedMessage, "host list: " + reader.error());
+    std::unordered_set<BackendServerName> names;
+    for (const auto &server : list.hosts) {
+        const auto fault = [&](const std::string &text) {
+            return makeError(ResultCode::MalformedMessage,
+                             "host list: " + server.name.value() + ' ' + text);
+        };
+        if (server.name.value().empty() || !names.insert(server.name).second)
+            return fault("is empty or occurs twice");
+        if (!isSocketAddressText(server.address.value()))
+            return fault("has an address that is not ip:port");
+        if (server.slots == 0 || server.slots > kMaxSlots)
+            return fault("has slots that are not within 1 to " + std::to_string(kMaxSlots));
+    }
+    return std::move(list.hosts);
+}
+
+std::string writeHostList(const std::vector<BackendServer> &servers)
+{
+    const HostList list { servers };
+    return writeJson(FieldWriter::toJson(list));
+}
+
+Result<BackendHealth> parseBackendHealth(std::string_view body)
+{
+    BOOST_LEAF_AUTO(json, parseJsonObject(body, "health", ResultCode::MalformedMessage));
+    BackendHealth health;
+    FieldReader reader(json);
+    describe(reader, health);
+    if (!reader.error().empty())
+        return makeError(ResultCode::MalformedMessage, "health: " + reader.error());
+    return health;
+}
+
+std::string writeBackendHealth(const BackendHealth &health)
+{
+    return writeJson(FieldWriter::toJson(health));
+}
+
+} // namespace crocusport
--- a/src/protocol/jsonfields.cpp
+++ b/src/protocol/jsonfields.cpp
@@ -1,7 +1,16 @@
 #include "jsonfields.h"
 
+#include "base64.h"
+
+#include <charconv>
+
 namespace crocusport {
 
+void FieldWriter::base64(const char *key, const std::string &value)
+{
+    object_[key] = toBase64(value);
+}
+
 FieldReader::FieldReader(const nlohmann::json &object) : object_(object)
 {
     if (!object.is_object())
@@ -35,6 +44,31 @@
         fail(key, json ? "is not a byte string" : "is missing");
 }
 
+void FieldReader::base64(const char *key, std::string &value)
+{
+    std::string text;
+    defaulted(key, text);
+    if (auto data = fromBase64(text))
+        value = std::move(*data);
+    else
+        fail(key, "is not base64");
+}
+
+void FieldReader::decimal(const char *key, std::int64_t &value)
+{
+    value = 0;
+    const auto *json = find(key);
+    const auto *text = json ? json->get_ptr<const std::string *>() : nullptr;
+    if (!json || !text) {
+        defaulted(key, value);
+        return;
+    }
+    const auto *const end = text->data() + text->size();
+    const auto [parsed, error] = std::from_chars(text->data(), end, value);
+    if (error != std::errc {} || parsed != end)
+        fail(key, "is not a 64-bit integer");
+}
+
 void FieldReader::readString(const char *key, const nlohmann::json &json, std::string &value)
 {
     if (const auto *text = json.get_ptr<const std::string *>())
--- a/src/protocol/jsonfields.h
+++ b/src/protocol/jsonfields.h
@@ -79,6 +79,11 @@
         object_[key] = nlohmann::json::binary({ value.begin(), value.end() });
     }
 
+    //! Adds a byte string as base64, which JSON can carry.
+    void base64(const char *key, const std::string &value);
+    //! Adds a 64-bit integer as text, as in the JSON mapping of Protocol Buffers.
+    void decimal(const char *key, std::int64_t value) { object_[key] = std::to_string(value); }
+
     nlohmann::json take() { return std::move(object_); }
 
     template<typename T>
@@ -149,6 +154,11 @@
     //! Reads a byte string that must be present.
     void bytes(const char *key, std::string &value);
 
+    //! Reads base64; an absent field is empty, as in the JSON mapping of Protocol Buffers.
+    void base64(const char *key, std::string &value);
+    //! Reads a 64-bit integer that may be text; an absent one is 0.
+    void decimal(const char *key, std::int64_t &value);
+
     //! Records a fault of the field \a key, unless there is one already.
     void fail(std::string_view key, std::string_view fault);
 
