StoreClient: Add clients of the key-value service and the host list

A call ends within its timeout. Only a complete, understood reply is success; a refusal (4xx) is certain not to have taken effect; everything else after bytes were sent is Timeout or ConnectionClosed, also 5xx, by which the gateway reports its own timeouts, and an unusable reply with status 200. Writes are never repeated; an address that refuses the connection is passed over.

The host list client keeps the last valid list and polls on a new connection after a failure.

--- /dev/null
+++ b/include/crocusport/transport/hostlistclient.h
@@ -0,0 +1,67 @@
+#ifndef CROCUSPORT_HOSTLISTCLIENT_H
+#define CROCUSPORT_HOSTLISTCLIENT_H
+
+#include "crocusport/state/backendserver.h"
+#include "crocusport/state/identifiers.h"
+#include "crocusport/state/instant.h"
+#include "crocusport/transport/httpclient.h"
+#include "crocusport/transport/timer.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusport {
+
+/*!
+    Polls the platform's host list. While it is unavailable or invalid, the last list stays in use.
+
+    Thread safety: loop thread only. Loop and HTTP client must outlive the host list client.
+*/
+class HostListClient
+{
+public:
+    struct Options
+    {
+        SocketAddress address;
+        Duration period = std::chrono::seconds(1); //!< Also the time limit of each call.
+    };
+    //! Called with the list, sorted by name, when it differs from the one before.
+    using Handler = std::function<void(const std::vector<BackendServer> &servers)>;
+
+    //! Polls from the next iteration of the loop on.
+    HostListClient(EventLoop &loop, HttpClient &client, Options options, Handler onChange);
+
+    HostListClient(const HostListClient &) = delete;
+    HostListClient &operator=(const HostListClient &) = delete;
+
+    //! The last valid list; empty before the first.
+    const std::vector<BackendServer> &servers() const { return servers_; }
+    //! When the last valid list was received.
+    std::optional<Instant> lastReceived() const { return lastReceived_; }
+    //! Why the last poll failed; empty when it did not.
+    const std::string &lastError() const { return lastError_; }
+
+private:
+    void poll();
+    void onEnd(const HttpCallEnd &end);
+    void accept(std::vector<BackendServer> servers);
+    void fail(const std::string &error);
+
+    HttpClient &client_;
+    Options options_;
+    Handler onChange_;
+    std::vector<BackendServer> servers_;
+    std::optional<Instant> lastReceived_;
+    std::string lastError_;
+    std::string body_;
+    Timer timer_;
+    std::unique_ptr<HttpCall> call_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_HOSTLISTCLIENT_H
--- /dev/null
+++ b/src/transport/storecall.cpp
@@ -0,0 +1,109 @@
+#include "storecall.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+constexpr int kFirstClientError = 400;
+// A value of 1 MiB is a third longer in base64.
+constexpr std::size_t kMaxReplyBytes = 8'388'608;
+
+} // namespace
+
+void StoreConnection::passOver(const SocketAddress &address)
+{
+    if (addresses[preferred] == address)
+        preferred = (preferred + 1) % addresses.size();
+}
+
+Error storeErrorOf(const HttpCallEnd &end, const SocketAddress &address)
+{
+    const std::string store = "store at " + address.value();
+    switch (end.failure) {
+    case HttpFailure::ConnectFailed:
+        return { ResultCode::ConnectFailed, store + " takes no connection" };
+    case HttpFailure::ProgressTimeout:
+        return { ResultCode::Timeout, store + " does not answer" };
+    case HttpFailure::None:
+        break;
+    default:
+        return { ResultCode::ConnectionClosed,
+                 store + " gave no complete reply: " + std::string(httpFailureName(end.failure)) };
+    }
+    const std::string status = store + " answers with status " + std::to_string(end.status);
+    // The gateway reports its own timeouts as 5xx, and the write may take effect after them.
+    const bool isRefused = end.status >= kFirstClientError && end.status < kFirstServerError;
+    return { isRefused ? ResultCode::StoreError : ResultCode::ConnectionClosed, status };
+}
+
+StoreCall::StoreCall(StoreConnection &connection, Kind kind, std::string_view path,
+                     std::string body, Handler onReply)
+    : connection_(connection), kind_(kind), path_(path), body_(std::move(body)),
+      onReply_(std::move(onReply)), timer_(connection.loop, [this] {
+          connection_.passOver(address_);
+          finish(Error { ResultCode::Timeout,
+                         "store at " + address_.value() + " does not answer in time" });
+      })
+{
+    timer_.startOnce(connection_.timeout);
+    send(ConnectionUse::Pooled);
+}
+
+void StoreCall::send(ConnectionUse use)
+{
+    ++attempts_;
+    reply_.clear();
+    address_ = connection_.addresses[connection_.preferred];
+    HttpCallRequest request;
+    request.address = address_;
+    request.method = "POST";
+    request.target = path_;
+    request.headers = { { "Content-Type", "application/json" } };
+    request.body = body_;
+    request.connection = use;
+    // An address that drops packets must leave time for the others.
+    request.connectTimeout = connection_.timeout / connection_.addresses.size();
+    request.progressTimeout = connection_.timeout;
+    request.maxResponseBytes = kMaxReplyBytes;
+    HttpCallHandlers handlers;
+    handlers.onBody = [this](std::string_view data) { reply_.append(data); };
+    handlers.onEnd = [this](const HttpCallEnd &end) { onEnd(end); };
+    call_ = connection_.client.start(std::move(request), std::move(handlers));
+}
+
+void StoreCall::onEnd(const HttpCallEnd &end)
+{
+    if (end.failure == HttpFailure::None && end.status == kOk) {
+        finish(std::move(reply_));
+        return;
+    }
+    if (end.failure != HttpFailure::None)
+        connection_.passOver(address_);
+    if (mayTryAgain(end))
+        send(ConnectionUse::Fresh);
+    else
+        finish(storeErrorOf(end, address_));
+}
+
+bool StoreCall::mayTryAgain(const HttpCallEnd &end) const
+{
+    if (end.failure == HttpFailure::ConnectFailed)
+        return attempts_ < connection_.addresses.size();
+    // The store may have closed a pooled connection at the moment at which it was used.
+    return kind_ == Kind::Read && end.failure == HttpFailure::ClosedBeforeResponse && attempts_ < 2;
+}
+
+void StoreCall::finish(AsyncResult<std::string> result)
+{
+    timer_.stop();
+    // The handler may destroy this call, and with it the member.
+    const auto onReply = std::move(onReply_);
+    onReply(std::move(result));
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/transport/storecall.h
@@ -0,0 +1,70 @@
+#ifndef CROCUSPORT_STORECALL_H
+#define CROCUSPORT_STORECALL_H
+
+#include "crocusport/coordination/keyvaluestore.h"
+#include "crocusport/transport/httpclient.h"
+#include "crocusport/transport/timer.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace crocusport {
+
+//! What all calls of a store client share.
+struct StoreConnection
+{
+    EventLoop &loop;
+    HttpClient &client;
+    std::vector<SocketAddress> addresses;
+    Duration timeout {};
+    std::size_t preferred = 0; //!< Index of the address to try first.
+
+    //! Makes the address after \a address the first to try, unless that has happened already.
+    void passOver(const SocketAddress &address);
+};
+
+//! Returns the error that tells what \a end means for a call to the store.
+Error storeErrorOf(const HttpCallEnd &end, const SocketAddress &address);
+
+/*!
+    One request to the store and its reply. Destroying it cancels the call.
+
+    Thread safety: loop thread only.
+*/
+class StoreCall
+{
+public:
+    enum class Kind { Read, Write };
+    //! Called once with the body of a successful reply; may destroy the call.
+    using Handler = std::function<void(AsyncResult<std::string>)>;
+
+    StoreCall(StoreConnection &connection, Kind kind, std::string_view path, std::string body,
+              Handler onReply);
+
+    StoreCall(const StoreCall &) = delete;
+    StoreCall &operator=(const StoreCall &) = delete;
+
+private:
+    void send(ConnectionUse use);
+    void onEnd(const HttpCallEnd &end);
+    bool mayTryAgain(const HttpCallEnd &end) const;
+    void finish(AsyncResult<std::string> result);
+
+    StoreConnection &connection_;
+    Kind kind_;
+    std::string path_;
+    std::string body_;
+    Handler onReply_;
+    SocketAddress address_;
+    std::size_t attempts_ = 0;
+    std::string reply_;
+    Timer timer_;
+    std::unique_ptr<HttpCall> call_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_STORECALL_H
