--- a/include/crocusport/coordination/membership.h
+++ b/include/crocusport/coordination/membership.h
@@ -58,7 +58,7 @@
     std::vector<Observation> takeObservations();
     //! The peer with the highest configuration version heard, if newer than this router's.
     std::optional<RouterName> peerWithNewerConfiguration() const;
-    //! True once after the set of live members has changed.
+    //! True once after liveMembers() or leavingMembers() has changed.
     bool takeMembersChanged();
     //! Links that did not acknowledge three pings in succession and should be replaced.
     std::vector<RouterName> takeStaleLinks();
@@ -67,6 +67,8 @@
 
     //! Alive and suspect members with this router unless it is leaving, sorted by name.
     std::vector<RouterName> liveMembers() const;
+    //! Members that finish their requests and take no new roles, sorted by name.
+    std::vector<RouterName> leavingMembers() const;
     std::vector<MemberInfo> members() const;
     std::optional<SocketAddress> addressOf(const RouterName &member) const;
     const MemberInfo &self() const;
--- /dev/null
+++ b/src/coordination/observationlog.cpp
@@ -0,0 +1,58 @@
+#include "observationlog.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace crocusport {
+
+namespace {
+
+//! Crash marks hold for 10 minutes (docs/design.md section 4.5), so new routers must learn them.
+constexpr Duration kGossipFor = std::chrono::minutes(10);
+//! Twice as long, so that an observation that a peer still spreads is not taken for a new one.
+constexpr Duration kRememberFor = 2 * kGossipFor;
+constexpr std::size_t kMaxKnown = 4096;
+constexpr std::size_t kFillObservations = 2;
+constexpr std::size_t kTransmissionsPerDoubling = 4;
+
+} // namespace
+
+bool ObservationLog::add(const Observation &observation, Instant now)
+{
+    if (!known_.emplace(observation, now).second)
+        return false;
+    news_.add(observation);
+    if (known_.size() <= kMaxKnown)
+        return true;
+    const auto oldest =
+        std::min_element(known_.begin(), known_.end(), [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        });
+    news_.remove(oldest->first);
+    known_.erase(oldest);
+    return true;
+}
+
+std::vector<Observation> ObservationLog::take(std::size_t count, std::size_t memberCount,
+                                              Instant now)
+{
+    auto taken = news_.take(count, kTransmissionsPerDoubling * std::bit_width(memberCount + 1));
+    const auto limit = std::min(count, taken.size() + kFillObservations);
+    for (std::size_t seen = 0; seen < known_.size() && taken.size() < limit; ++seen) {
+        auto next = known_.upper_bound(lastFilled_);
+        if (next == known_.end())
+            next = known_.begin();
+        lastFilled_ = next->first;
+        if (now - next->second < kGossipFor
+            && std::find(taken.begin(), taken.end(), next->first) == taken.end())
+            taken.push_back(next->first);
+    }
+    return taken;
+}
+
+void ObservationLog::tick(Instant now)
+{
+    std::erase_if(known_, [now](const auto &entry) { return now - entry.second >= kRememberFor; });
+}
+
+} // namespace crocusport
