SlotBroker: Add pool holders, local fallback and repeats

Cause: the daemon needs slots from one queue per pool, also while routers fail. Waiting requests are repeated to the holder after 1 s, then at up to 16 s; running ones every 10 s. A holder forgets what it has not heard of for 40 s, which recovers the slots of lost releases at about one small message per running request and 10 s. A request that waits locally goes back to the holder's queue when the holder answers after all. setMembers() also takes the leaving members, whose requests keep their slots. Excluded: a message with the whole running set, because it would need a new message type.

--- a/include/crocusport/coordination/peermessage.h
+++ b/include/crocusport/coordination/peermessage.h
@@ -104,7 +104,8 @@
     SlotRelease release;
 };
 
-//! The caller has gone or the request was decided locally; the holder forgets it.
+//! The caller has gone or the request was decided elsewhere; the holder forgets it. An empty pool
+//! stands for any pool.
 struct SlotCancelMessage
 {
     RequestId request;
--- a/include/crocusport/coordination/slotbroker.h
+++ b/include/crocusport/coordination/slotbroker.h
@@ -24,7 +24,7 @@
 /*!
     Obtains slots for this router's requests, and holds the queues of the pools whose holder this
     router is (docs/design.md sections 3 and 4.1). When a pool's holder does not acknowledge a
-   request within 20 ms, decides from local knowledge. When the holder of a pool changes, repeats
+    request within 20 ms, decides from local knowledge. When the holder of a pool changes, repeats
    the waiting and running requests to the new one.
 
     Pure: time is an argument. Thread safety: none; use from one thread.
@@ -40,6 +40,9 @@
     void setConfiguration(std::shared_ptr<const Configuration> configuration, Instant now);
     //! \a liveMembers includes this router unless it is leaving.
     void setMembers(const std::vector<RouterName> &liveMembers, Instant now);
+    //! Requests of \a leavingMembers keep their slots; those of routers in neither list lose them.
+    void setMembers(const std::vector<RouterName> &liveMembers,
+                    const std::vector<RouterName> &leavingMembers, Instant now);
     void setBackendServers(const std::vector<BackendServer> &servers, Instant now);
     //! Applies first-hand or gossiped evidence about a backend server.
     void observe(const Observation &observation, Instant now);
--- /dev/null
+++ b/src/coordination/backendservers.h
@@ -0,0 +1,45 @@
+#ifndef CROCUSPORT_BACKENDSERVERS_H
+#define CROCUSPORT_BACKENDSERVERS_H
+
+#include "crocusport/coordination/observation.h"
+#include "crocusport/state/configuration.h"
+#include "crocusport/state/poolscheduler.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace crocusport {
+
+/*!
+    What a new scheduler must be told: policy, servers, and the evidence about them so far.
+
+    Thread safety: none; use from one thread.
+*/
+class BackendServers
+{
+public:
+    void setConfiguration(std::shared_ptr<const Configuration> configuration);
+    void setServers(const std::vector<BackendServer> &servers);
+    //! Keeps \a observation for schedulers that are made later.
+    void addEvidence(const Observation &observation, Instant now);
+
+    PoolPolicy policyOf(const PoolName &pool) const;
+    const std::vector<BackendServer> &serversOf(const PoolName &pool) const;
+    std::size_t slotsOf(const PoolName &pool) const;
+    PoolScheduler makeScheduler(const PoolName &pool, std::uint64_t seed, Instant now) const;
+
+    //! Applies \a observation, made at \a observedAt, to \a scheduler.
+    static void apply(PoolScheduler &scheduler, const Observation &observation, Instant observedAt,
+                      Instant now);
+
+private:
+    std::shared_ptr<const Configuration> configuration_;
+    std::map<PoolName, std::vector<BackendServer>> servers_;
+    std::deque<std::pair<Instant, Observation>> evidence_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_BACKENDSERVERS_H
--- /dev/null
+++ b/src/coordination/heldpool.cpp
@@ -0,0 +1,182 @@
+#include "heldpool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+//! Routers repeat running requests every 10 s and waiting ones at least every 16 s, so an entry is
+//! dropped only when two repeats in succession were lost.
+constexpr Duration kEntryLease = std::chrono::seconds(40);
+constexpr Duration kLeaseCheckInterval = std::chrono::seconds(5);
+
+} // namespace
+
+HeldPool::HeldPool(const RouterName &self, PoolScheduler scheduler, Instant graceUntil)
+    : self_(self), scheduler_(std::move(scheduler)), graceUntil_(graceUntil)
+{ }
+
+void HeldPool::submit(const SlotRequest &request, Instant now)
+{
+    isChanged_ = true;
+    const auto found = entries_.find(request.request);
+    if (found != entries_.end()) {
+        if (found->second.router == request.router)
+            repeat(found->second, request, now);
+        return;
+    }
+    entries_[request.request] = { request.router, request.runningOn, request.excluded.size(), now };
+    queue(request, now);
+}
+
+void HeldPool::queue(const SlotRequest &request, Instant now)
+{
+    if (request.runningOn) {
+        scheduler_.submit(request, now);
+        return;
+    }
+    if (now < graceUntil_ && request.tier.value() > kUrgentTier)
+        heldBack_.push_back(request);
+    else
+        scheduler_.submit(request, now);
+    unacknowledged_.push_back(request.request);
+}
+
+void HeldPool::repeat(Entry &entry, const SlotRequest &request, Instant now)
+{
+    entry.heardAt = now;
+    // An older attempt's message that arrives late says nothing about the current attempt.
+    if (request.excluded.size() < entry.excludedCount)
+        return;
+    const bool isNewAttempt = request.excluded.size() > entry.excludedCount;
+    if (request.runningOn ? entry.server == request.runningOn && !isNewAttempt : !isNewAttempt) {
+        if (!request.runningOn && entry.server)
+            repeatedGrants_.push_back(
+                { request.request, request.router, request.pool, *entry.server });
+        else if (!request.runningOn)
+            unacknowledged_.push_back(request.request);
+        return;
+    }
+    // Started elsewhere, or a new attempt whose predecessor's release was lost or is late.
+    withdraw(request.request, now);
+    entry.server = request.runningOn;
+    entry.excludedCount = request.excluded.size();
+    queue(request, now);
+}
+
+void HeldPool::withdraw(const RequestId &request, Instant now)
+{
+    scheduler_.cancel(request, now);
+    std::erase_if(heldBack_, [&](const auto &held) { return held.request == request; });
+}
+
+void HeldPool::release(const RouterName &from, const SlotRelease &release, Instant now)
+{
+    const auto found = entries_.find(release.request);
+    if (found == entries_.end() || found->second.router != from
+        || found->second.server != release.server)
+        return;
+    isChanged_ = true;
+    scheduler_.release(release, now);
+    entries_.erase(found);
+}
+
+void HeldPool::cancel(const RouterName &from, const RequestId &request, Instant now)
+{
+    const auto found = entries_.find(request);
+    if (found == entries_.end() || found->second.router != from)
+        return;
+    isChanged_ = true;
+    withdraw(request, now);
+    entries_.erase(found);
+}
+
+void HeldPool::removeRouter(const RouterName &router, Instant now)
+{
+    isChanged_ = true;
+    scheduler_.removeRouter(router, now);
+    std::erase_if(heldBack_, [&](const auto &held) { return held.router == router; });
+    std::erase_if(entries_, [&](const auto &entry) { return entry.second.router == router; });
+}
+
+void HeldPool::endGrace(Instant now)
+{
+    if (heldBack_.empty() || now < graceUntil_)
+        return;
+    for (const auto &request : std::exchange(heldBack_, {}))
+        scheduler_.submit(request, now);
+    isChanged_ = true;
+}
+
+void HeldPool::dropSilent(Instant now)
+{
+    if (checkedAt_ && now - *checkedAt_ < kLeaseCheckInterval)
+        return;
+    const auto elapsed = checkedAt_ ? now - *checkedAt_ : Duration {};
+    // After a pause of this router, repeats may be waiting to be read.
+    const auto pause = elapsed > 2 * kLeaseCheckInterval ? elapsed : Duration {};
+    checkedAt_ = now;
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        Entry &entry = it->second;
+        entry.heardAt += pause;
+        if (entry.router == self_ || now - entry.heardAt < kEntryLease) {
+            ++it;
+            continue;
+        }
+        withdraw(it->first, now);
+        isChanged_ = true;
+        it = entries_.erase(it);
+    }
+}
+
+HeldPoolDecisions HeldPool::run(Instant now)
+{
+    dropSilent(now);
+    endGrace(now);
+    HeldPoolDecisions decisions;
+    const auto next = scheduler_.nextDecisionTime(now);
+    if (isChanged_ || (next && *next <= now)) {
+        isChanged_ = false;
+        auto decided = scheduler_.decide(now);
+        decisions.grants = std::move(decided.grants);
+        decisions.refusals = std::move(decided.refusals);
+    }
+    for (const auto &grant : decisions.grants) {
+        const auto found = entries_.find(grant.request);
+        if (found != entries_.end())
+            found->second.server = grant.server;
+    }
+    for (const auto &refusal : decisions.refusals)
+        entries_.erase(refusal.request);
+    for (auto &grant : std::exchange(repeatedGrants_, {})) {
+        const auto found = entries_.find(grant.request);
+        if (found != entries_.end() && found->second.server == grant.server)
+            decisions.grants.push_back(std::move(grant));
+    }
+    for (const auto &request : std::exchange(unacknowledged_, {})) {
+        const auto found = entries_.find(request);
+        if (found == entries_.end() || found->second.server || found->second.router == self_)
+            continue;
+        const auto estimate = scheduler_.estimate(request, now);
+        decisions.queued.emplace_back(
+            found->second.router, SlotQueuedMessage { request, estimate.position, estimate.wait });
+    }
+    return decisions;
+}
+
+std::optional<Instant> HeldPool::nextRunTime(Instant now) const
+{
+    if (isChanged_ || !unacknowledged_.empty() || !repeatedGrants_.empty())
+        return now;
+    auto next = scheduler_.nextDecisionTime(now);
+    const auto consider = [&](Instant time) { next = next ? std::min(*next, time) : time; };
+    if (!heldBack_.empty())
+        consider(graceUntil_);
+    if (!entries_.empty())
+        consider(checkedAt_.value_or(now) + kLeaseCheckInterval);
+    return next;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/coordination/slotbrokerprivate.cpp
@@ -0,0 +1,382 @@
+#include "slotbrokerprivate.h"
+
+#include "crocusport/coordination/rendezvous.h"
+#include "crocusport/state/resultcode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+//! Time for the holder's first answer (docs/design.md section 4.1).
+constexpr Duration kAcknowledgeTimeout = std::chrono::milliseconds(20);
+//! A new holder waits this long for running requests to be repeated to it.
+constexpr Duration kGraceTime = std::chrono::milliseconds(150);
+//! Waiting requests are repeated at growing intervals, so that long queues cost few messages.
+constexpr Duration kFirstRepeat = std::chrono::seconds(1);
+constexpr Duration kLastRepeat = std::chrono::seconds(16);
+//! Must stay well below the lease after which a holder forgets a request (HeldPool).
+constexpr Duration kRunningRepeat = std::chrono::seconds(10);
+//! Interval at which a holder that did not answer is asked again.
+constexpr Duration kHolderRetry = std::chrono::seconds(1);
+//! Without the holder each router takes up to twice its even share of a pool: it cannot see
+//! whether the others are busy, and the backend servers' own limits bound the sum.
+constexpr std::size_t kFallbackShare = 2;
+constexpr std::size_t kMinFallbackLimit = 4;
+
+} // namespace
+
+const RouterName &SlotBroker::Private::holderOf(const PoolName &pool)
+{
+    const auto found = holders.find(pool);
+    if (found != holders.end())
+        return found->second;
+    auto order = policy == QueuePolicy::Holder ? rendezvousOrder(pool.value(), live, 1)
+                                               : std::vector<RouterName> {};
+    return holders.emplace(pool, order.empty() ? self : std::move(order.front())).first->second;
+}
+
+HeldPool &SlotBroker::Private::heldPool(const PoolName &pool, Instant now)
+{
+    const auto found = held.find(pool);
+    if (found != held.end())
+        return found->second;
+    // Remembers whose pool it is, so that changeHolders() sees when that changes.
+    holderOf(pool);
+    const auto graceUntil =
+        policy == QueuePolicy::Holder && membersChangedAt ? *membersChangedAt + kGraceTime : now;
+    return held.emplace(pool, HeldPool(self, servers.makeScheduler(pool, seed, now), graceUntil))
+        .first->second;
+}
+
+FallbackPool &SlotBroker::Private::fallbackPool(const PoolName &pool, Instant now)
+{
+    const auto found = fallbacks.find(pool);
+    if (found != fallbacks.end())
+        return found->second;
+    FallbackPool created(servers.makeScheduler(pool, seed + 1, now), fallbackLimit(pool));
+    for (const auto &id : requests.ids()) {
+        const OwnRequest *const own = requests.find(id);
+        if (own->request.pool == pool && !own->isWaiting())
+            created.addRunning(own->request, now);
+    }
+    return fallbacks.emplace(pool, std::move(created)).first->second;
+}
+
+std::size_t SlotBroker::Private::fallbackLimit(const PoolName &pool) const
+{
+    const auto members = std::max<std::size_t>(live.size(), 1);
+    return std::max(kMinFallbackLimit, kFallbackShare * servers.slotsOf(pool) / members);
+}
+
+void SlotBroker::Private::send(const RouterName &to, PeerMessage message)
+{
+    output.messages.push_back({ to, std::move(message) });
+}
+
+void SlotBroker::Private::ask(OwnRequest &own, Instant now)
+{
+    own.holder = holderOf(own.request.pool);
+    own.repeatAfter = kFirstRepeat;
+    if (own.holder == self) {
+        heldPool(own.request.pool, now).submit(own.request, now);
+        if (own.isWaiting())
+            own.state = OwnRequestState::Queued;
+        requests.setTimer(own,
+                          own.isWaiting() ? std::optional(own.request.deadline) : std::nullopt);
+        return;
+    }
+    askRemote(own, now);
+    if (!own.isWaiting()) {
+        requests.setTimer(own, now + kRunningRepeat);
+    } else if (own.state != OwnRequestState::Local) {
+        own.state = OwnRequestState::Asked;
+        requests.setTimer(own, std::min(now + kAcknowledgeTimeout, own.request.deadline));
+    }
+}
+
+void SlotBroker::Private::askRemote(const OwnRequest &own, Instant now)
+{
+    SlotRequestMessage message;
+    message.request = own.request;
+    message.waited = now - own.request.arrived;
+    message.remaining = own.request.deadline - now;
+    send(own.holder, std::move(message));
+}
+
+void SlotBroker::Private::decideLocally(OwnRequest &own, Instant now)
+{
+    own.state = OwnRequestState::Local;
+    fallbackPool(own.request.pool, now).add(own.request, now);
+    requests.setTimer(own, std::min(now + kHolderRetry, own.request.deadline));
+}
+
+void SlotBroker::Private::timeOut(OwnRequest &own, Instant now)
+{
+    if (own.isWaiting() && now >= own.request.deadline) {
+        forgetAtHolder(own, now);
+        refuse(own, ResultCode::DeadlinePassed, own.estimatedWait, now);
+        return;
+    }
+    switch (own.state) {
+    case OwnRequestState::Asked:
+        decideLocally(own, now);
+        break;
+    case OwnRequestState::Queued:
+        // The grant may have been lost, or the holder may have been paused or restarted.
+        own.state = OwnRequestState::Asked;
+        askRemote(own, now);
+        requests.setTimer(own, std::min(now + kAcknowledgeTimeout, own.request.deadline));
+        break;
+    case OwnRequestState::Local:
+        askRemote(own, now);
+        requests.setTimer(own, std::min(now + kHolderRetry, own.request.deadline));
+        break;
+    case OwnRequestState::Running:
+        askRemote(own, now);
+        requests.setTimer(own, now + kRunningRepeat);
+        break;
+    }
+}
+
+void SlotBroker::Private::start(const RouterName &from, OwnRequest &own, const SlotGrant &grant,
+                                Instant now)
+{
+    own.state = OwnRequestState::Running;
+    own.request.runningOn = grant.server;
+    const auto fallback = fallbacks.find(own.request.pool);
+    if (fallback != fallbacks.end()) {
+        fallback->second.remove(own.request.request, now);
+        fallback->second.addRunning(own.request, now);
+    }
+    // A holder that did not decide this must count the slot.
+    if (own.holder != self && own.holder != from)
+        askRemote(own, now);
+    requests.setTimer(own, own.holder == self ? std::nullopt : std::optional(now + kRunningRepeat));
+    output.grants.push_back(grant);
+}
+
+void SlotBroker::Private::startLocally(FallbackPool &pool, const SlotGrant &grant, Instant now)
+{
+    OwnRequest *const own = requests.find(grant.request);
+    if (!own || own->state != OwnRequestState::Local || now >= own->request.deadline) {
+        pool.remove(grant.request, now);
+        return;
+    }
+    own->state = OwnRequestState::Running;
+    own->request.runningOn = grant.server;
+    askRemote(*own, now);
+    requests.setTimer(*own, now + kRunningRepeat);
+    output.grants.push_back(grant);
+}
+
+void SlotBroker::Private::refuse(OwnRequest &own, ResultCode code, Duration retryAfter, Instant now)
+{
+    const auto request = own.request.request;
+    const auto fallback = fallbacks.find(own.request.pool);
+    if (fallback != fallbacks.end())
+        fallback->second.remove(request, now);
+    output.refusals.push_back(
+        { request, self, own.request.pool, static_cast<int>(code), retryAfter });
+    requests.remove(request);
+}
+
+void SlotBroker::Private::giveBack(const RouterName &to, const SlotGrant &grant, Instant now)
+{
+    SlotRelease release;
+    release.request = grant.request;
+    release.pool = grant.pool;
+    release.server = grant.server;
+    release.reason = ReleaseReason::Cancelled;
+    if (to == self)
+        heldPool(grant.pool, now).release(self, release, now);
+    else
+        send(to, SlotReleaseMessage { std::move(release) });
+}
+
+void SlotBroker::Private::forgetAtHolder(const OwnRequest &own, Instant now)
+{
+    if (own.holder == self) {
+        const auto pool = held.find(own.request.pool);
+        if (pool != held.end())
+            pool->second.cancel(self, own.request.request, now);
+        return;
+    }
+    send(own.holder, SlotCancelMessage { own.request.request, own.request.pool });
+}
+
+void SlotBroker::Private::moveToHolder(OwnRequest &own, Instant now)
+{
+    const bool isOldKnown = std::binary_search(known.begin(), known.end(), own.holder);
+    if (own.holder == self || isOldKnown)
+        forgetAtHolder(own, now);
+    ask(own, now);
+}
+
+void SlotBroker::Private::takeGrant(const RouterName &from, const SlotGrant &grant, Instant now)
+{
+    OwnRequest *const own = requests.find(grant.request);
+    if (!own) {
+        giveBack(from, grant, now);
+        return;
+    }
+    if (!own->isWaiting()) {
+        // A repeated grant is the one that was taken; another server's slot is not needed.
+        if (own->request.runningOn == grant.server)
+            return;
+        giveBack(from, grant, now);
+        if (from == own->holder)
+            askRemote(*own, now);
+        return;
+    }
+    if (now >= own->request.deadline) {
+        giveBack(from, grant, now);
+        if (from != own->holder)
+            forgetAtHolder(*own, now);
+        refuse(*own, ResultCode::DeadlinePassed, own->estimatedWait, now);
+        return;
+    }
+    const auto &excluded = own->request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), grant.server) != excluded.end()) {
+        // A grant of an earlier attempt that was repeated or delayed.
+        giveBack(from, grant, now);
+        if (from == own->holder)
+            ask(*own, now);
+        return;
+    }
+    start(from, *own, grant, now);
+}
+
+void SlotBroker::Private::takeRefusal(const RouterName &from, const SlotRefusal &refusal,
+                                      Instant now)
+{
+    OwnRequest *const own = requests.find(refusal.request);
+    if (!own || !own->isWaiting())
+        return;
+    const bool isLocal = from == self && own->holder != self;
+    // A former holder may not know the servers that the present one has.
+    if (!isLocal && from != own->holder)
+        return;
+    if (isLocal)
+        forgetAtHolder(*own, now);
+    refuse(*own, static_cast<ResultCode>(refusal.code), refusal.retryAfter, now);
+}
+
+void SlotBroker::Private::runHeld(HeldPool &pool, Instant now)
+{
+    auto decisions = pool.run(now);
+    for (auto &grant : decisions.grants) {
+        if (grant.router == self)
+            takeGrant(self, grant, now);
+        else
+            send(grant.router, SlotGrantMessage { grant });
+    }
+    for (auto &refusal : decisions.refusals) {
+        if (refusal.router == self)
+            takeRefusal(self, refusal, now);
+        else
+            send(refusal.router, SlotRefusedMessage { refusal });
+    }
+    for (auto &[router, message] : decisions.queued)
+        send(router, std::move(message));
+}
+
+void SlotBroker::Private::runFallback(FallbackPool &pool, Instant now)
+{
+    const auto decisions = pool.run(now);
+    for (const auto &grant : decisions.grants)
+        startLocally(pool, grant, now);
+    for (const auto &refusal : decisions.refusals)
+        takeRefusal(self, refusal, now);
+}
+
+void SlotBroker::Private::changeHolders(const std::map<PoolName, RouterName> &oldHolders,
+                                        Instant now)
+{
+    for (const auto &[name, oldHolder] : oldHolders) {
+        const auto &newHolder = holderOf(name);
+        if (newHolder == oldHolder)
+            continue;
+        if (oldHolder == self)
+            held.erase(name);
+        else if (newHolder == self)
+            heldPool(name, now).setGrace(now + kGraceTime);
+    }
+    for (const auto &id : requests.ids()) {
+        OwnRequest &own = *requests.find(id);
+        if (holderOf(own.request.pool) != own.holder)
+            moveToHolder(own, now);
+    }
+    std::erase_if(fallbacks, [&](const auto &entry) { return holderOf(entry.first) == self; });
+    for (auto &[name, pool] : fallbacks)
+        pool.setLimit(fallbackLimit(name));
+}
+
+void SlotBroker::Private::handle(const RouterName &from, const SlotRequestMessage &message,
+                                 Instant now)
+{
+    auto request = message.request;
+    request.router = from;
+    request.arrived = now - message.waited;
+    request.deadline = now + message.remaining;
+    // Also when another router is the holder by this router's view: the views agree soon, and
+    // until then a decision here is better informed than the other router's own.
+    heldPool(request.pool, now).submit(request, now);
+}
+
+void SlotBroker::Private::handle(const RouterName &from, const SlotQueuedMessage &message,
+                                 Instant now)
+{
+    OwnRequest *const own = requests.find(message.request);
+    if (!own || from != own->holder) {
+        // The message does not name the pool, which is not known here any more.
+        send(from, SlotCancelMessage { message.request, PoolName() });
+        return;
+    }
+    if (!own->isWaiting()) {
+        // The report that it started elsewhere was lost or is late.
+        askRemote(*own, now);
+        return;
+    }
+    own->estimatedWait = message.estimatedWait;
+    if (own->state == OwnRequestState::Queued)
+        return;
+    if (own->state == OwnRequestState::Local)
+        fallbackPool(own->request.pool, now).remove(message.request, now);
+    own->state = OwnRequestState::Queued;
+    requests.setTimer(*own, std::min(now + own->repeatAfter, own->request.deadline));
+    own->repeatAfter = std::min(2 * own->repeatAfter, kLastRepeat);
+}
+
+void SlotBroker::Private::handle(const RouterName &from, const SlotGrantMessage &message,
+                                 Instant now)
+{
+    takeGrant(from, message.grant, now);
+}
+
+void SlotBroker::Private::handle(const RouterName &from, const SlotRefusedMessage &message,
+                                 Instant now)
+{
+    takeRefusal(from, message.refusal, now);
+}
+
+void SlotBroker::Private::handle(const RouterName &from, const SlotReleaseMessage &message,
+                                 Instant now)
+{
+    const auto pool = held.find(message.release.pool);
+    if (pool != held.end())
+        pool->second.release(from, message.release, now);
+}
+
+void SlotBroker::Private::handle(const RouterName &from, const SlotCancelMessage &message,
+                                 Instant now)
+{
+    for (auto &[name, pool] : held) {
+        if (message.pool == name || message.pool.value().empty())
+            pool.cancel(from, message.request, now);
+    }
+}
+
+} // namespace crocusport
