ClaimRegistry: Add claims for at-most-once execution

Cause: a caller's retry with the same idempotency key must not run a booking twice. Only one attempt passes beginSending(). An attempt that ends without sending writes NotRun over whatever its delayed claiming write could still succeed on, also over an absent key, so that the claim cannot appear after the caller was told that the request was not run. Excluded: waiting for the store beyond 500 ms; the final state is written later instead.

--- /dev/null
+++ b/include/crocusport/coordination/claimregistry.h
@@ -0,0 +1,481 @@
+#ifndef CROCUSPORT_CLAIMREGISTRY_H
+#define CROCUSPORT_CLAIMREGISTRY_H
+
+#include "crocusport/coordination/claim.h"
+#include "crocusport/coordination/keyvaluestore.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocusport {
+
+/*!
+    Claims for requests that must run at most once (docs/design.md section 4.2).
+
+    An attempt may send its request only if beginSending() returned true for it, which happens once.
+    All other attempts end without sending, and only those write NotRun to the store. NotRun
+    replaces whatever a delayed write of the attempt could still succeed on, so a claim cannot
+    appear after its attempt was given up.
+
+    Precondition: the store outlives the registry. Thread safety: loop thread only.
+*/
+template<KeyValueStore Store>
+class ClaimRegistry
+{
+public:
+    using Callback = std::function<void(ClaimAnswer)>;
+
+    ClaimRegistry(Store &store, RouterName router, Incarnation incarnation, ClaimCodec codec,
+                  const ClaimPolicy &policy = {})
+        : d_(std::make_shared<Private>(store, std::move(router), incarnation, std::move(codec),
+                                       policy))
+    { }
+
+    //! Tries to claim \a request; \a onAnswer is called exactly once, from here or later.
+    void claim(const ClaimRequest &request, Instant now, const Callback &onAnswer)
+    {
+        d_->claim(request, now, onAnswer);
+    }
+
+    /*!
+        Returns true if the attempt may send its request now, and only the first time. False means
+        that the request was not run and will not be: the attempt was given up or its deadline has
+        passed.
+    */
+    bool beginSending(const std::string &attempt, Instant now)
+    {
+        return d_->beginSending(attempt, now);
+    }
+
+    /*!
+        Records how a granted attempt has ended. The write is repeated until the store has it.
+
+        Precondition: \a state is not Claimed, and NotRun only if no byte was sent or the backend
+        server said that it did not run the request.
+    */
+    void finish(const std::string &attempt, ClaimState state,
+                const std::optional<std::string> &response, Instant now)
+    {
+        d_->finish(attempt, state, response, now);
+    }
+
+    //! Times out claims and repeats calls. Due at least every 50 ms while pendingCount() is not 0.
+    void tick(Instant now) { d_->tick(now); }
+
+    //! Attempts that are being claimed, are granted, or whose final state is not stored yet.
+    std::size_t pendingCount() const { return d_->attempts.size(); }
+
+private:
+    enum class Phase { Claiming, Granted, Sending, Settling };
+
+    struct Attempt
+    {
+        ClaimRequest request;
+        ClaimRecord record;
+        Callback onAnswer;
+        Phase phase = Phase::Claiming;
+        Instant timeoutAt;
+        StoreRevision expected = 0; //!< Revision that the last claiming write relied on.
+        bool hasWritten = false;
+        bool mustRead = false; //!< What the store holds is not known.
+        bool isCalling = false;
+        Instant calledAt;             //!< Of the last call to the store, or when one was due.
+        std::uint64_t callNumber = 0; //!< Replies to earlier calls are ignored.
+    };
+
+    struct Private : std::enable_shared_from_this<Private>
+    {
+        Private(Store &keyValueStore, RouterName name, Incarnation own, ClaimCodec claimCodec,
+                const ClaimPolicy &claimPolicy)
+            : store(&keyValueStore), router(std::move(name)), incarnation(own),
+              codec(std::move(claimCodec)), policy(claimPolicy)
+        { }
+
+        void claim(const ClaimRequest &request, Instant now, const Callback &onAnswer)
+        {
+            lastNow = now;
+            const auto id = router.value() + "/" + std::to_string(incarnation.value()) + "/"
+                + std::to_string(++attemptNumber);
+            Attempt &attempt = attempts[id];
+            attempt.record = { ClaimState::Claimed, router,      incarnation, request.request, id,
+                               request.bodyHash,    std::nullopt };
+            attempt.request = request;
+            attempt.onAnswer = onAnswer;
+            attempt.timeoutAt = now + policy.storeTimeout;
+            attempt.calledAt = now;
+            if (ensureLease())
+                writeClaim(id);
+        }
+
+        bool beginSending(const std::string &id, Instant now)
+        {
+            lastNow = now;
+            Attempt *const attempt = find(id);
+            if (!attempt || attempt->phase != Phase::Granted)
+                return false;
+            if (now >= attempt->request.deadline) {
+                settle(id, ClaimState::NotRun);
+                return false;
+            }
+            attempt->phase = Phase::Sending;
+            return true;
+        }
+
+        void finish(const std::string &id, ClaimState state,
+                    const std::optional<std::string> &response, Instant now)
+        {
+            lastNow = now;
+            Attempt *const attempt = find(id);
+            if (!attempt || attempt->phase == Phase::Claiming || attempt->phase == Phase::Settling)
+                return;
+            // A request that was not sent can only have been not run.
+            const bool isSent = attempt->phase == Phase::Sending;
+            attempt->record.response = response;
+            settle(id, isSent ? state : ClaimState::NotRun);
+        }
+
+        void tick(Instant now)
+        {
+            lastNow = now;
+            std::vector<std::string> ids;
+            for (const auto &[id, attempt] : attempts) {
+                if (attempt.phase == Phase::Claiming)
+                    ids.push_back(id);
+            }
+            for (const auto &id : ids)
+                tickClaiming(id, now);
+            for (const auto &id : std::vector(settling.begin(), settling.end())) {
+                Attempt *const attempt = find(id);
+                if (attempt && attempt->isCalling && now - attempt->calledAt >= policy.callTimeout)
+                    retrySettling(*attempt);
+            }
+            settleNext();
+        }
+
+        void tickClaiming(const std::string &id, Instant now)
+        {
+            Attempt *const attempt = find(id);
+            if (!attempt || attempt->phase != Phase::Claiming)
+                return;
+            if (now >= attempt->timeoutAt) {
+                giveUp(id);
+                return;
+            }
+            if (attempt->isCalling || now - attempt->calledAt < policy.retryInterval)
+                return;
+            attempt->calledAt = now;
+            if (attempt->mustRead)
+                read(id);
+            else if (ensureLease())
+                writeClaim(id);
+        }
+
+        // Lease, shared by the claims of one hour.
+
+        bool ensureLease()
+        {
+            if (leaseRequestedAt) {
+                const auto age = lastNow - *leaseRequestedAt;
+                if (lease && age < policy.leaseUse)
+                    return true;
+                if (!lease && age < (isLeaseRequested ? policy.storeTimeout : policy.retryInterval))
+                    return false;
+            }
+            lease.reset();
+            isLeaseRequested = true;
+            leaseRequestedAt = lastNow;
+            const auto weak = this->weak_from_this();
+            store->grantLease(policy.leaseTimeToLive,
+                              [weak, requestedAt = lastNow](AsyncResult<LeaseId> result) {
+                                  const auto self = weak.lock();
+                                  if (self && self->leaseRequestedAt == requestedAt)
+                                      self->takeLease(result);
+                              });
+            return lease.has_value();
+        }
+
+        void takeLease(const AsyncResult<LeaseId> &result)
+        {
+            isLeaseRequested = false;
+            if (const auto *const granted = std::get_if<LeaseId>(&result))
+                lease = *granted;
+            if (!lease)
+                return;
+            std::vector<std::string> waiting;
+            for (const auto &[id, attempt] : attempts) {
+                if (attempt.phase == Phase::Claiming && !attempt.hasWritten && !attempt.isCalling)
+                    waiting.push_back(id);
+            }
+            for (const auto &id : waiting)
+                writeClaim(id);
+            settleNext();
+        }
+
+        void noteFailure(const Error &error)
+        {
+            // The lease may be what the store rejected, for example after the store lost it.
+            if (error.code != ResultCode::Timeout && error.code != ResultCode::ConnectionClosed)
+                lease.reset();
+        }
+
+        // Calls to the store. A reply counts only if the attempt has made no other call since.
+
+        template<typename Reply, typename Handler>
+        StoreCallback<Reply> onReply(const std::string &id, Handler handler)
+        {
+            Attempt &attempt = attempts.at(id);
+            attempt.isCalling = true;
+            attempt.calledAt = lastNow;
+            const auto number = ++attempt.callNumber;
+            return [weak = this->weak_from_this(), id, number, handler](AsyncResult<Reply> result) {
+                const auto self = weak.lock();
+                Attempt *const current = self ? self->find(id) : nullptr;
+                if (!current || current->callNumber != number || !current->isCalling)
+                    return;
+                current->isCalling = false;
+                if (const auto *const error = std::get_if<Error>(&result))
+                    self->noteFailure(*error);
+                handler(*self, id, std::move(result));
+            };
+        }
+
+        void read(const std::string &id)
+        {
+            auto callback = onReply<std::optional<StoreEntry>>(
+                id, [](Private &self, const std::string &read, auto result) {
+                    if (const auto *const entry = std::get_if<0>(&result))
+                        self.take(read, *entry);
+                    else
+                        self.takeFailure(read);
+                });
+            store->get(attempts.at(id).request.key, std::move(callback));
+        }
+
+        void swap(const std::string &id, StoreRevision expected)
+        {
+            Attempt &attempt = attempts.at(id);
+            auto callback =
+                onReply<SwapReply>(id, [](Private &self, const std::string &written, auto result) {
+                    if (const auto *const reply = std::get_if<SwapReply>(&result))
+                        self.takeSwap(written, *reply);
+                    else
+                        self.takeFailure(written);
+                });
+            store->compareAndSwap(
+                { attempt.request.key, codec.encode(attempt.record), expected, lease },
+                std::move(callback));
+        }
+
+        //! Does nothing if a call of the attempt is pending or the attempt has ended.
+        void writeClaim(const std::string &id)
+        {
+            Attempt *const attempt = find(id);
+            if (!attempt || attempt->phase != Phase::Claiming || attempt->isCalling)
+                return;
+            attempt->hasWritten = true;
+            swap(id, attempt->expected);
+        }
+
+        void takeFailure(const std::string &id)
+        {
+            Attempt &attempt = attempts.at(id);
+            attempt.mustRead = true;
+            if (attempt.phase == Phase::Settling)
+                retrySettling(attempt);
+        }
+
+        void takeSwap(const std::string &id, const SwapReply &reply)
+        {
+            if (!reply.isSwapped) {
+                take(id, reply.current);
+                return;
+            }
+            Attempt &attempt = attempts.at(id);
+            if (attempt.phase == Phase::Settling) {
+                endSettling(id);
+                return;
+            }
+            grant(id, reply.revision);
+        }
+
+        //! Handles what the store holds for the attempt's key.
+        void take(const std::string &id, const std::optional<StoreEntry> &entry)
+        {
+            Attempt &attempt = attempts.at(id);
+            attempt.mustRead = false;
+            if (attempt.phase == Phase::Settling)
+                continueSettling(id, entry);
+            else
+                evaluate(id, entry);
+        }
+
+        // Claiming.
+
+        void evaluate(const std::string &id, const std::optional<StoreEntry> &entry)
+        {
+            Attempt &attempt = attempts.at(id);
+            if (!entry) {
+                writeAgain(id, 0);
+                return;
+            }
+            const auto record = codec.decode(entry->value);
+            if (record && record->attempt == id) {
+                grant(id, entry->modRevision);
+                return;
+            }
+            if (record && record->bodyHash == attempt.record.bodyHash
+                && record->state == ClaimState::NotRun) {
+                writeAgain(id, entry->modRevision);
+                return;
+            }
+            // A malformed record may be of a request that has run.
+            ClaimAnswer reply { ClaimResult::Duplicate, {}, {} };
+            if (record && record->bodyHash != attempt.record.bodyHash)
+                reply.result = ClaimResult::OtherBody;
+            else if (record && record->state == ClaimState::Completed)
+                reply = { ClaimResult::Completed, {}, record->response };
+            answer(id, std::move(reply));
+        }
+
+        void writeAgain(const std::string &id, StoreRevision expected)
+        {
+            attempts.at(id).expected = expected;
+            if (ensureLease())
+                writeClaim(id);
+        }
+
+        void grant(const std::string &id, StoreRevision revision)
+        {
+            Attempt &attempt = attempts.at(id);
+            attempt.phase = Phase::Granted;
+            attempt.expected = revision;
+            const auto onAnswer = std::exchange(attempt.onAnswer, {});
+            onAnswer({ ClaimResult::Granted, id, {} });
+        }
+
+        //! Ends an attempt that has left nothing in the store.
+        void answer(const std::string &id, ClaimAnswer reply)
+        {
+            const auto onAnswer = std::move(attempts.at(id).onAnswer);
+            attempts.erase(id);
+            onAnswer(std::move(reply));
+        }
+
+        void giveUp(const std::string &id)
+        {
+            Attempt &attempt = attempts.at(id);
+            if (!attempt.hasWritten) {
+                answer(id, {});
+                return;
+            }
+            const auto onAnswer = std::exchange(attempt.onAnswer, {});
+            attempt.mustRead = true;
+            settle(id, ClaimState::NotRun);
+            onAnswer({});
+        }
+
+        // Settling: writing the final state.
+
+        void settle(const std::string &id, ClaimState state)
+        {
+            Attempt &attempt = attempts.at(id);
+            attempt.phase = Phase::Settling;
+            attempt.record.state = state;
+            attempt.isCalling = false;
+            settling.push_back(id);
+            settleNext();
+        }
+
+        void settleNext()
+        {
+            if (settling.empty() || lastNow < settlePausedUntil || !ensureLease())
+                return;
+            std::vector<std::string> due;
+            std::size_t calling = 0;
+            for (const auto &id : settling) {
+                if (calling + due.size() >= policy.maxSettling)
+                    break;
+                if (attempts.at(id).isCalling)
+                    ++calling;
+                else
+                    due.push_back(id);
+            }
+            for (const auto &id : due) {
+                Attempt *const attempt = find(id);
+                if (!attempt || attempt->isCalling)
+                    continue;
+                if (attempt->mustRead)
+                    read(id);
+                else
+                    swap(id, attempt->expected);
+            }
+        }
+
+        void retrySettling(Attempt &attempt)
+        {
+            attempt.isCalling = false;
+            attempt.mustRead = true;
+            settlePausedUntil = lastNow + policy.settleRetryInterval;
+        }
+
+        void continueSettling(const std::string &id, const std::optional<StoreEntry> &entry)
+        {
+            Attempt &attempt = attempts.at(id);
+            const auto revision = entry ? entry->modRevision : 0;
+            const auto record = entry ? codec.decode(entry->value) : std::nullopt;
+            const bool isOwn = record && record->attempt == id;
+            if (isOwn && record->state == attempt.record.state) {
+                endSettling(id);
+                return;
+            }
+            // An unchanged revision means that a delayed claiming write could still succeed.
+            if (!isOwn && revision != attempt.expected) {
+                endSettling(id);
+                return;
+            }
+            if (isOwn)
+                attempt.expected = revision;
+            if (ensureLease() && find(id) && !attempts.at(id).isCalling)
+                swap(id, revision);
+        }
+
+        void endSettling(const std::string &id)
+        {
+            std::erase(settling, id);
+            attempts.erase(id);
+            settleNext();
+        }
+
+        Attempt *find(const std::string &id)
+        {
+            const auto found = attempts.find(id);
+            return found == attempts.end() ? nullptr : &found->second;
+        }
+
+        Store *store;
+        RouterName router;
+        Incarnation incarnation;
+        ClaimCodec codec;
+        ClaimPolicy policy;
+        std::map<std::string, Attempt> attempts;
+        std::deque<std::string> settling; //!< Attempts whose final state is not stored yet.
+        std::uint64_t attemptNumber = 0;
+        std::optional<LeaseId> lease;
+        bool isLeaseRequested = false;
+        std::optional<Instant> leaseRequestedAt;
+        Instant settlePausedUntil;
+        Instant lastNow;
+    };
+
+    std::shared_ptr<Private> d_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_CLAIMREGISTRY_H
--- a/include/crocusport/coordination/keyvaluestore.h
+++ b/include/crocusport/coordination/keyvaluestore.h
@@ -3,6 +3,7 @@
 
 #include "crocusport/state/error.h"
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <functional>
--- /dev/null
+++ b/tests/coordination/fakestore.h
@@ -0,0 +1,148 @@
+#ifndef CROCUSPORT_FAKESTORE_H
+#define CROCUSPORT_FAKESTORE_H
+
+#include "crocusport/coordination/keyvaluestore.h"
+#include "crocusport/state/instant.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace crocusport::testing {
+
+/*!
+    An in-memory key-value service whose calls take effect and return at random times, may lose
+    their replies, and fail while the service is out. A failed call may take effect later.
+*/
+class FakeStore
+{
+public:
+    explicit FakeStore(std::uint64_t seed) : random_(seed) { }
+
+    Duration maxDelay = std::chrono::milliseconds(4);
+    double replyLoss = 0;
+    double lateWrites = 0; //!< Share of calls that take effect seconds after they have failed.
+    bool isOut = false;
+    std::function<void(const std::string &value)> onWrite;
+
+    void get(const std::string &key, StoreCallback<std::optional<StoreEntry>> callback)
+    {
+        call<std::optional<StoreEntry>>([this, key] { return find(key); }, std::move(callback));
+    }
+
+    void compareAndSwap(const CompareAndSwap &swap, StoreCallback<SwapReply> callback)
+    {
+        call<SwapReply>([this, swap] { return apply(swap); }, std::move(callback));
+    }
+
+    void grantLease(std::chrono::seconds /*timeToLive*/, StoreCallback<LeaseId> callback)
+    {
+        call<LeaseId>(
+            [this] {
+                leases_.insert(++lastLease_);
+                return lastLease_;
+            },
+            std::move(callback));
+    }
+
+    void keepAlive(LeaseId lease, StoreCallback<LeaseId> callback)
+    {
+        call<LeaseId>([this, lease] { return leases_.count(lease) > 0 ? lease : LeaseId { 0 }; },
+                      std::move(callback));
+    }
+
+    void watch(const std::string & /*key*/, StoreRevision /*revision*/,
+               StoreCallback<std::optional<StoreEntry>> /*callback*/)
+    { }
+
+    //! Ends a lease: its keys are removed.
+    void expire(LeaseId lease)
+    {
+        leases_.erase(lease);
+        std::erase_if(entries_, [&](const auto &entry) { return entry.second.second == lease; });
+    }
+
+    std::optional<StoreEntry> find(const std::string &key) const
+    {
+        const auto found = entries_.find(key);
+        return found == entries_.end() ? std::nullopt : std::optional(found->second.first);
+    }
+
+    //! Runs everything that happens up to \a now.
+    void advance(Instant now)
+    {
+        while (!events_.empty() && events_.begin()->first <= now) {
+            const auto event = std::move(events_.begin()->second);
+            now_ = events_.begin()->first;
+            events_.erase(events_.begin());
+            event();
+        }
+        now_ = now;
+    }
+
+private:
+    static constexpr Duration kClientTimeout = std::chrono::milliseconds(200);
+
+    bool chance(double probability)
+    {
+        return std::uniform_real_distribution<>(0, 1)(random_) < probability;
+    }
+
+    Duration delay(Duration longest)
+    {
+        return Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(random_));
+    }
+
+    template<typename T, typename Effect>
+    void call(Effect effect, StoreCallback<T> callback)
+    {
+        const auto fail = [callback] { callback(Error { ResultCode::Timeout, "no reply" }); };
+        if (chance(lateWrites)) {
+            at(now_ + kClientTimeout, fail);
+            at(now_ + delay(std::chrono::seconds(3)), [effect] { effect(); });
+            return;
+        }
+        at(now_ + delay(maxDelay), [this, effect, callback, fail] {
+            if (isOut) {
+                at(now_ + kClientTimeout, fail);
+                return;
+            }
+            const T reply = effect();
+            if (chance(replyLoss))
+                at(now_ + kClientTimeout, fail);
+            else
+                at(now_ + delay(maxDelay), [callback, reply] { callback(reply); });
+        });
+    }
+
+    SwapReply apply(const CompareAndSwap &swap)
+    {
+        const auto current = find(swap.key);
+        if ((current ? current->modRevision : 0) != swap.expectedRevision
+            || (swap.lease && leases_.count(*swap.lease) == 0))
+            return { false, revision_, current };
+        ++revision_;
+        entries_[swap.key] = { StoreEntry { swap.key, swap.value, revision_ },
+                               swap.lease.value_or(0) };
+        if (onWrite)
+            onWrite(swap.value);
+        return { true, revision_, std::nullopt };
+    }
+
+    void at(Instant time, std::function<void()> event) { events_.emplace(time, std::move(event)); }
+
+    std::mt19937_64 random_;
+    Instant now_;
+    StoreRevision revision_ = 0;
+    LeaseId lastLease_ = 0;
+    std::set<LeaseId> leases_;
+    std::map<std::string, std::pair<StoreEntry, LeaseId>> entries_;
+    std::multimap<Instant, std::function<void()>> events_;
+};
+
+} // namespace crocusport::testing
+
+#endif // CROCUSPORT_FAKESTORE_H
--- /dev/null
+++ b/tests/coordination/testclaimregistry.cpp
@@ -0,0 +1,227 @@
+#include "crocusport/coordination/claimregistry.h"
+#include "fakestore.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <memory>
+#include <sstream>
+
+using namespace crocusport;
+using namespace crocusport::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+ClaimCodec textCodec()
+{
+    return { [](const ClaimRecord &record) {
+                std::ostringstream text;
+                text << static_cast<int>(record.state) << ' ' << record.attempt << ' '
+                     << record.bodyHash << ' ' << record.response.value_or("-");
+                return text.str();
+            },
+             [](const std::string &value) -> std::optional<ClaimRecord> {
+                 std::istringstream text(value);
+                 int state = 0;
+                 ClaimRecord record;
+                 std::string response;
+                 if (!(text >> state >> record.attempt >> record.bodyHash >> response))
+                     return std::nullopt;
+                 record.state = static_cast<ClaimState>(state);
+                 if (response != "-")
+                     record.response = response;
+                 return record;
+             } };
+}
+
+using Registry = ClaimRegistry<FakeStore>;
+
+//! Routers that claim the same key, each as one caller's retry. Time advances by 10 ms.
+struct Fleet
+{
+    explicit Fleet(std::uint64_t seed) : store(seed)
+    {
+        for (int i = 0; i < 3; ++i)
+            routers.push_back(std::make_unique<Registry>(store, RouterName("r" + std::to_string(i)),
+                                                         Incarnation(1), textCodec()));
+    }
+
+    void advance(Duration duration)
+    {
+        for (const auto end = now + duration; now < end;) {
+            now += 10ms;
+            store.advance(now);
+            for (std::size_t i = 0; i < routers.size(); ++i) {
+                if (now >= pausedUntil[i])
+                    routers[i]->tick(now);
+            }
+        }
+    }
+
+    //! Claims and returns the answer, if one came within \a patience.
+    std::optional<ClaimAnswer> claim(std::size_t router, const std::string &body = "body",
+                                     Duration patience = 1s, Duration deadline = 60s)
+    {
+        auto answer = std::make_shared<std::optional<ClaimAnswer>>();
+        routers[router]->claim({ "key", RequestId("q"), body, now + deadline }, now,
+                               [answer](ClaimAnswer reply) {
+                                   REQUIRE_FALSE(answer->has_value());
+                                   *answer = std::move(reply);
+                               });
+        for (const auto end = now + patience; now < end && !*answer;)
+            advance(10ms);
+        return *answer;
+    }
+
+    FakeStore store;
+    std::vector<std::unique_ptr<Registry>> routers;
+    std::array<Instant, 3> pausedUntil {};
+    Instant now = Instant(1000s);
+};
+
+} // namespace
+
+SCENARIO("A request with an idempotency key runs at most once")
+{
+    Fleet fleet(1);
+    const auto first = fleet.claim(0);
+    REQUIRE(first->result == ClaimResult::Granted);
+
+    WHEN("a retry reaches another router while the first attempt runs")
+    {
+        REQUIRE(fleet.routers[0]->beginSending(first->attempt, fleet.now));
+
+        // Guards against two routers sending the same booking.
+        THEN("it is not run")
+        {
+            REQUIRE(fleet.claim(1)->result == ClaimResult::Duplicate);
+            REQUIRE(fleet.claim(1, "other")->result == ClaimResult::OtherBody);
+            REQUIRE_FALSE(fleet.routers[0]->beginSending(first->attempt, fleet.now));
+        }
+        AND_WHEN("the first attempt completes")
+        {
+            fleet.routers[0]->finish(first->attempt, ClaimState::Completed, "stored", fleet.now);
+            fleet.advance(100ms);
+            const auto retry = fleet.claim(1);
+            THEN("the retry receives the stored response")
+            {
+                REQUIRE(retry->result == ClaimResult::Completed);
+                REQUIRE(retry->response == "stored");
+            }
+        }
+    }
+    WHEN("the first attempt is paused beyond its deadline before it sends")
+    {
+        fleet.advance(61s);
+
+        // Guards against a paused router that sends a request whose caller was answered long ago.
+        THEN("it may not send, and a retry is granted")
+        {
+            REQUIRE_FALSE(fleet.routers[0]->beginSending(first->attempt, fleet.now));
+            fleet.advance(100ms);
+            REQUIRE(fleet.claim(1)->result == ClaimResult::Granted);
+        }
+    }
+    WHEN("the store goes out and the attempt was not sent")
+    {
+        fleet.store.isOut = true;
+        fleet.routers[0]->finish(first->attempt, ClaimState::NotRun, std::nullopt, fleet.now);
+        THEN("retries are told so at once, and are granted after the outage")
+        {
+            const auto before = fleet.now;
+            REQUIRE(fleet.claim(1)->result == ClaimResult::StoreUnavailable);
+            REQUIRE(fleet.now - before <= 510ms);
+            fleet.store.isOut = false;
+            fleet.advance(3s);
+            REQUIRE(fleet.claim(1)->result == ClaimResult::Granted);
+            REQUIRE(fleet.routers[0]->pendingCount() == 0);
+        }
+    }
+}
+
+TEST_CASE("Claims stay exclusive whatever the store and the routers do")
+{
+    rc::prop("at most one attempt sends unless all earlier ones truly were not run", [] {
+        Fleet fleet(*rc::gen::arbitrary<std::uint64_t>());
+        fleet.store.replyLoss = *rc::gen::element(0.0, 0.3, 0.6);
+        fleet.store.lateWrites = *rc::gen::element(0.0, 0.3);
+        fleet.store.maxDelay = *rc::gen::element<Duration>(4ms, 100ms, 400ms);
+        struct Held
+        {
+            std::size_t router;
+            std::string attempt;
+            bool isSending = false;
+        };
+        auto held = std::make_shared<std::vector<Held>>();
+        bool mayHaveRun = false;
+        int answers = 0;
+        const auto steps = *rc::gen::inRange(10, 60);
+        int claims = 0;
+        for (int step = 0; step < steps; ++step) {
+            const auto router = *rc::gen::inRange<std::size_t>(0, 3);
+            switch (*rc::gen::inRange(0, 7)) {
+            case 0:
+            case 1:
+                ++claims;
+                fleet.routers[router]->claim({ "key", RequestId("q"), "body", fleet.now + 5s },
+                                             fleet.now,
+                                             [held, router, &answers](const ClaimAnswer &answer) {
+                                                 ++answers;
+                                                 if (answer.result == ClaimResult::Granted)
+                                                     held->push_back({ router, answer.attempt });
+                                             });
+                break;
+            case 2:
+            case 3:
+                if (!held->empty()) {
+                    auto &chosen = held->at(*rc::gen::inRange<std::size_t>(0, held->size()));
+                    const bool isAllowed =
+                        fleet.routers[chosen.router]->beginSending(chosen.attempt, fleet.now);
+                    if (isAllowed) {
+                        // An earlier attempt is still sending, completed or unknown.
+                        RC_ASSERT(!mayHaveRun);
+                        mayHaveRun = true;
+                        chosen.isSending = true;
+                    }
+                }
+                break;
+            case 4:
+                if (!held->empty()) {
+                    const auto index = *rc::gen::inRange<std::size_t>(0, held->size());
+                    const auto chosen = held->at(index);
+                    held->erase(held->begin() + static_cast<std::ptrdiff_t>(index));
+                    const auto state = *rc::gen::element(ClaimState::NotRun, ClaimState::Unknown,
+                                                         ClaimState::Completed);
+                    fleet.routers[chosen.router]->finish(chosen.attempt, state, std::nullopt,
+                                                         fleet.now);
+                    // The backend server said that it did not run the request.
+                    if (chosen.isSending && state == ClaimState::NotRun)
+                        mayHaveRun = false;
+                }
+                break;
+            case 5:
+                fleet.store.isOut = *rc::gen::arbitrary<bool>();
+                break;
+            case 6:
+                fleet.pausedUntil.at(router) = fleet.now + *rc::gen::inRange(0, 3000) * 1ms;
+                break;
+            }
+            fleet.advance(*rc::gen::element<Duration>(10ms, 50ms, 300ms, 1500ms));
+        }
+        fleet.store.isOut = false;
+        fleet.store.replyLoss = 0;
+        fleet.store.lateWrites = 0;
+        fleet.store.maxDelay = 4ms;
+        fleet.advance(10s);
+        RC_ASSERT(answers == claims);
+        // What was not run must become claimable again, and what may have run must not.
+        for (auto &chosen : *held)
+            fleet.routers[chosen.router]->finish(chosen.attempt, ClaimState::Unknown, std::nullopt,
+                                                 fleet.now);
+        fleet.advance(5s);
+        const auto retry = fleet.claim(0);
+        RC_ASSERT(retry.has_value());
+        RC_ASSERT((retry->result == ClaimResult::Granted) == !mayHaveRun);
+    });
+}
