State: Add the parts that know servers, latency and crashes

Cause: a decision must not scan all backend servers. The server table keeps those with a free slot in sets that can be sampled in constant time; placement compares at most 8 of them and the one with the prompt prefix. A crash has the same id for all observers, so that one crash is counted once. Excluded: reclassifying a running request as long when it exceeds the threshold. Conclusion: the scheduler can be built on these.

--- /dev/null
+++ b/include/crocusport/state/crashledger.h
@@ -0,0 +1,66 @@
+#ifndef CROCUSPORT_CRASHLEDGER_H
+#define CROCUSPORT_CRASHLEDGER_H
+
+#include "crocusport/state/identifiers.h"
+#include "crocusport/state/instant.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+namespace crocusport {
+
+/*!
+    Returns the id of the crash that ended \a start of \a server. It is the same for every
+    observer, so that reports of one crash by several routers count once. Safe from any thread.
+*/
+std::string crashId(const BackendServerName &server, StartNumber start);
+
+/*!
+    Counts for each fingerprint the backend-server crashes during which it ran
+    (docs/design.md section 4.5). Crash sets only grow, so that reports merge in any order and any
+    number of times; cleared crashes are remembered for that reason.
+
+    Thread safety: none; use from one thread.
+*/
+class CrashLedger
+{
+public:
+    //! Merges the report that \a fingerprint ran during \a crash. Fingerprint 0 means none.
+    void add(Fingerprint fingerprint, const std::string &crash, Instant now);
+    //! Counts \a crash for the marked \a fingerprint and, from now on, for no other.
+    void attribute(Fingerprint fingerprint, const std::string &crash, Instant now);
+    //! Forgives \a fingerprint its crashes so far, because a request with it completed.
+    void clear(Fingerprint fingerprint);
+    //! Forgets crashes that happened long ago. Linear.
+    void expire(Instant now);
+
+    //! Returns whether requests with \a fingerprint must run in isolation.
+    bool isMarked(Fingerprint fingerprint) const;
+    //! Returns until when \a fingerprint is refused, if it is at \a now.
+    std::optional<Instant> refusedUntil(Fingerprint fingerprint, Instant now) const;
+
+private:
+    struct Entry
+    {
+        std::set<std::string> crashes;
+        std::set<std::string> cleared;
+        Instant lastCrash {};
+        std::optional<Instant> refusedUntil;
+
+        bool marked() const { return !crashes.empty(); }
+    };
+    struct Attribution
+    {
+        Fingerprint fingerprint;
+        Instant at {};
+    };
+
+    std::unordered_map<Fingerprint, Entry> entries_;
+    std::unordered_map<std::string, Attribution> attributions_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_CRASHLEDGER_H
--- /dev/null
+++ b/src/state/backendservertable.cpp
@@ -0,0 +1,260 @@
+#include "backendservertable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace crocusport {
+
+namespace {
+
+//! A slow server gets one probe request in this time (docs/design.md section 4.6).
+constexpr Duration kProbeInterval = std::chrono::seconds(1);
+//! A slow factor above this excludes a server.
+constexpr double kExclusionFactor = 4;
+//! How long evidence about a server outlives its entry in the host list, which lags.
+constexpr Duration kForgetAfter = std::chrono::minutes(10);
+
+} // namespace
+
+void BackendServerTable::setLongShare(double longShare)
+{
+    longShare_ = longShare;
+    for (std::uint32_t i = 0; i < entries_.size(); ++i)
+        refresh(ServerIndex(i));
+}
+
+std::uint32_t BackendServerTable::longCapacity(const BackendServerEntry &entry) const
+{
+    const auto share = std::floor(longShare_ * entry.server.slots + 1e-9);
+    return std::max(1U, static_cast<std::uint32_t>(share));
+}
+
+ServerIndex BackendServerTable::indexOf(const BackendServerName &name)
+{
+    if (const auto found = indexes_.find(name); found != indexes_.end())
+        return found->second;
+    if (unusedIndexes_.empty()) {
+        unusedIndexes_.emplace_back(static_cast<std::uint32_t>(entries_.size()));
+        entries_.emplace_back();
+        contributions_.emplace_back();
+    }
+    const auto index = unusedIndexes_.back();
+    unusedIndexes_.pop_back();
+    indexes_.emplace(name, index);
+    auto &entry = entries_[index.value()];
+    entry = {};
+    entry.server.name = name;
+    entry.delistedAt = now_;
+    return index;
+}
+
+std::optional<ServerIndex> BackendServerTable::find(const BackendServerName &name) const
+{
+    const auto found = indexes_.find(name);
+    return found == indexes_.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool BackendServerTable::isPresent(const BackendServerName &name) const
+{
+    const auto index = find(name);
+    return index && at(*index).listed && !at(*index).leaving;
+}
+
+void BackendServerTable::applyEvidence(BackendServerEntry &entry, StartNumber start)
+{
+    if (start <= entry.evidenceStart)
+        return;
+    entry.evidenceStart = start;
+    entry.leaving = false;
+    entry.unavailableUntil = {};
+    entry.slow = false;
+    entry.slowFactor = 1;
+}
+
+void BackendServerTable::update(BackendServerEntry &entry, const BackendServer &listed)
+{
+    applyEvidence(entry, listed.start);
+    entry.server = listed;
+    entry.zone = zones_.indexOf(listed.zone);
+    entry.listed = true;
+    // A late host list may still show a server as live that is known to leave.
+    if (listed.state == BackendServerState::Leaving && listed.start >= entry.evidenceStart)
+        entry.leaving = true;
+}
+
+bool BackendServerTable::setBackendServers(const std::vector<BackendServer> &servers, Instant now)
+{
+    now_ = std::max(now_, now);
+    const auto presentBefore = presentCount_;
+    const auto slotsBefore = slots_;
+    for (auto &entry : entries_) {
+        if (entry.listed)
+            entry.delistedAt = now_;
+        entry.listed = false;
+    }
+    for (const auto &listed : servers)
+        update(entries_[indexOf(listed.name).value()], listed);
+    for (std::uint32_t i = 0; i < entries_.size(); ++i)
+        refresh(ServerIndex(i));
+    removeForgotten(now_);
+    return presentCount_ < presentBefore || slots_ < slotsBefore;
+}
+
+void BackendServerTable::removeForgotten(Instant now)
+{
+    std::erase_if(indexes_, [&](const auto &item) {
+        const auto &entry = at(item.second);
+        const bool forgotten =
+            !entry.listed && entry.running == 0 && entry.delistedAt + kForgetAfter <= now;
+        if (forgotten)
+            unusedIndexes_.push_back(item.second);
+        return forgotten;
+    });
+}
+
+void BackendServerTable::markLeaving(const BackendServerName &name, StartNumber start)
+{
+    const auto index = indexOf(name);
+    auto &entry = entries_[index.value()];
+    if (start < entry.evidenceStart)
+        return;
+    applyEvidence(entry, start);
+    entry.leaving = true;
+    refresh(index);
+}
+
+void BackendServerTable::markUnavailable(const BackendServerName &name, StartNumber start,
+                                         Instant until)
+{
+    const auto index = indexOf(name);
+    auto &entry = entries_[index.value()];
+    if (start < entry.evidenceStart)
+        return;
+    applyEvidence(entry, start);
+    entry.unavailableUntil = std::max(entry.unavailableUntil, until);
+    if (until > now_)
+        wakeups_.emplace(until, index.value());
+    refresh(index);
+}
+
+void BackendServerTable::occupy(const RequestRecord &record)
+{
+    auto &entry = entries_[record.server.value()];
+    ++entry.running;
+    entry.longRunning += record.isLong() ? 1 : 0;
+    entry.markedRunning += record.marked ? 1 : 0;
+    refresh(record.server);
+}
+
+void BackendServerTable::vacate(const RequestRecord &record)
+{
+    auto &entry = entries_[record.server.value()];
+    assert(entry.running > 0);
+    --entry.running;
+    entry.longRunning -= record.isLong() ? 1 : 0;
+    entry.markedRunning -= record.marked ? 1 : 0;
+    refresh(record.server);
+}
+
+void BackendServerTable::addMarked(ServerIndex index)
+{
+    ++entries_[index.value()].markedRunning;
+}
+
+void BackendServerTable::removeMarked(ServerIndex index)
+{
+    --entries_[index.value()].markedRunning;
+}
+
+void BackendServerTable::setSlowFactor(ServerIndex index, double factor)
+{
+    auto &entry = entries_[index.value()];
+    entry.slowFactor = factor;
+    const bool slow = factor > kExclusionFactor;
+    if (slow == entry.slow)
+        return;
+    entry.slow = slow;
+    if (slow)
+        noteProbe(index);
+    refresh(index);
+}
+
+void BackendServerTable::noteProbe(ServerIndex index)
+{
+    auto &entry = entries_[index.value()];
+    entry.nextProbe = now_ + kProbeInterval;
+    wakeups_.emplace(entry.nextProbe, index.value());
+    refresh(index);
+}
+
+void BackendServerTable::advance(Instant now)
+{
+    now_ = std::max(now_, now);
+    while (!wakeups_.empty() && wakeups_.top().first <= now_) {
+        const auto index = wakeups_.top().second;
+        wakeups_.pop();
+        refresh(ServerIndex(index));
+    }
+}
+
+std::optional<Instant> BackendServerTable::nextTime() const
+{
+    return wakeups_.empty() ? std::nullopt : std::optional(wakeups_.top().first);
+}
+
+std::optional<Instant> BackendServerTable::nextReturn() const
+{
+    std::optional<Instant> next;
+    for (const auto &entry : entries_) {
+        if (entry.listed && !entry.leaving && entry.unavailableUntil > now_
+            && (!next || entry.unavailableUntil < *next))
+            next = entry.unavailableUntil;
+    }
+    return next;
+}
+
+void BackendServerTable::refreshSums(ServerIndex index, bool usable)
+{
+    const auto &entry = at(index);
+    auto &old = contributions_[index.value()];
+    Contribution current;
+    current.present = entry.listed && !entry.leaving ? 1 : 0;
+    if (usable) {
+        current.slots = entry.server.slots;
+        current.longSlots = std::min(entry.server.slots, longCapacity(entry));
+        const bool full = entry.running >= entry.server.slots;
+        current.freeSlots = full || entry.slow ? 0 : entry.server.slots - entry.running;
+    }
+    slots_ += current.slots - old.slots;
+    longSlots_ += current.longSlots - old.longSlots;
+    freeSlots_ += current.freeSlots - old.freeSlots;
+    presentCount_ += current.present - old.present;
+    old = current;
+}
+
+void BackendServerTable::refresh(ServerIndex index)
+{
+    const auto &entry = at(index);
+    const bool usable = entry.usable(now_);
+    const bool hasSlot = usable && entry.running < entry.server.slots;
+    const bool hasLongSlot = hasSlot && entry.longRunning < longCapacity(entry);
+    const bool probe = entry.slow && entry.nextProbe <= now_;
+    openShort_.set(index, hasSlot && !entry.slow);
+    openLong_.set(index, hasLongSlot && !entry.slow);
+    probesShort_.set(index, hasSlot && probe);
+    probesLong_.set(index, hasLongSlot && probe);
+    refreshSums(index, usable);
+}
+
+const IndexSet &BackendServerTable::open(RequestLength length) const
+{
+    return length == RequestLength::Long ? openLong_ : openShort_;
+}
+
+const IndexSet &BackendServerTable::probes(RequestLength length) const
+{
+    return length == RequestLength::Long ? probesLong_ : probesShort_;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/state/crashledger.cpp
@@ -0,0 +1,79 @@
+#include "crocusport/state/crashledger.h"
+
+#include <cstddef>
+
+namespace crocusport {
+
+namespace {
+
+constexpr std::size_t kCrashesToRefuse = 2;
+constexpr Duration kRefusalTime = std::chrono::minutes(10);
+//! After the refusal, a fingerprint stays marked for this time after its last crash.
+constexpr Duration kMemory = std::chrono::hours(1);
+
+} // namespace
+
+std::string crashId(const BackendServerName &server, StartNumber start)
+{
+    return server.value() + "#" + std::to_string(start.value());
+}
+
+void CrashLedger::add(Fingerprint fingerprint, const std::string &crash, Instant now)
+{
+    if (fingerprint.value() == 0)
+        return;
+    const auto attribution = attributions_.find(crash);
+    if (attribution != attributions_.end() && attribution->second.fingerprint != fingerprint)
+        return;
+    auto &entry = entries_[fingerprint];
+    if (entry.cleared.contains(crash) || !entry.crashes.insert(crash).second)
+        return;
+    entry.lastCrash = now;
+    if (entry.crashes.size() >= kCrashesToRefuse)
+        entry.refusedUntil = now + kRefusalTime;
+}
+
+void CrashLedger::attribute(Fingerprint fingerprint, const std::string &crash, Instant now)
+{
+    attributions_[crash] = { .fingerprint = fingerprint, .at = now };
+    add(fingerprint, crash, now);
+}
+
+void CrashLedger::clear(Fingerprint fingerprint)
+{
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end())
+        return;
+    auto &entry = found->second;
+    entry.cleared.merge(entry.crashes);
+    entry.crashes.clear();
+    entry.refusedUntil.reset();
+}
+
+void CrashLedger::expire(Instant now)
+{
+    std::erase_if(entries_,
+                  [&](const auto &item) { return item.second.lastCrash + kMemory <= now; });
+    std::erase_if(attributions_, [&](const auto &item) { return item.second.at + kMemory <= now; });
+}
+
+bool CrashLedger::isMarked(Fingerprint fingerprint) const
+{
+    if (entries_.empty())
+        return false;
+    const auto found = entries_.find(fingerprint);
+    return found != entries_.end() && found->second.marked();
+}
+
+std::optional<Instant> CrashLedger::refusedUntil(Fingerprint fingerprint, Instant now) const
+{
+    if (entries_.empty())
+        return std::nullopt;
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end() || !found->second.refusedUntil
+        || *found->second.refusedUntil <= now)
+        return std::nullopt;
+    return found->second.refusedUntil;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/state/latencytracker.cpp
@@ -0,0 +1,91 @@
+#include "latencytracker.h"
+
+#include <algorithm>
+
+namespace crocusport {
+
+namespace {
+
+constexpr double kWeight = 0.1;
+//! Fewer values than this do not exclude a server.
+constexpr std::uint32_t kMinSamples = 8;
+//! Reported at most for a server with fewer values; the limit of exclusion itself.
+constexpr double kUnconfirmedFactor = 4;
+constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+
+} // namespace
+
+void LatencyTracker::Mean::add(double sample)
+{
+    ++samples;
+    value += std::max(kWeight, 1.0 / samples) * (sample - value);
+}
+
+void LatencyTracker::learn(Mean &ofClass, Mean &ofServer, Duration value)
+{
+    if (value <= Duration::zero())
+        return;
+    const auto sample = static_cast<double>(value.count());
+    ofClass.add(sample);
+    ofServer.add(sample / ofClass.value);
+}
+
+void LatencyTracker::add(ServerIndex server, StartNumber start, ClassIndex requestClass,
+                         const SlotRelease &release)
+{
+    if (server.value() >= servers_.size())
+        servers_.resize(server.value() + 1);
+    auto &entry = servers_[server.value()];
+    if (entry.start != start)
+        entry = { .start = start, .latency = {} };
+    auto &ofClass = classes_[requestClass];
+    const auto firstToken =
+        release.firstToken > Duration::zero() ? release.firstToken : release.serviceTime;
+    learn(ofClass.firstToken, entry.latency.firstToken, firstToken);
+    learn(ofClass.tokenGap, entry.latency.tokenGap, release.tokenGap);
+    changed_ = true;
+}
+
+double LatencyTracker::median(const BackendServerTable &servers, Mean Latency::*mean)
+{
+    scratch_.clear();
+    for (std::uint32_t i = 0; i < servers_.size(); ++i) {
+        const auto &value = servers_[i].latency.*mean;
+        if (value.samples > 0 && servers.at(ServerIndex(i)).listed)
+            scratch_.push_back(value.value);
+    }
+    if (scratch_.empty())
+        return 0;
+    // The lower median: of two servers, the slower one is compared with the faster one.
+    const auto middle = scratch_.begin() + static_cast<std::ptrdiff_t>((scratch_.size() - 1) / 2);
+    std::nth_element(scratch_.begin(), middle, scratch_.end());
+    return *middle;
+}
+
+bool LatencyTracker::refreshMedians(const BackendServerTable &servers, Instant now)
+{
+    if (!changed_ || now < nextRefresh_)
+        return false;
+    medianFirstToken_ = median(servers, &Latency::firstToken);
+    medianTokenGap_ = median(servers, &Latency::tokenGap);
+    nextRefresh_ = now + kRefreshInterval;
+    changed_ = false;
+    return true;
+}
+
+double LatencyTracker::slowFactor(ServerIndex server) const
+{
+    if (server.value() >= servers_.size())
+        return 1;
+    const auto ratio = [](const Mean &mean, double median) {
+        if (mean.samples == 0 || median <= 0)
+            return 1.0;
+        const auto factor = mean.value / median;
+        return mean.samples < kMinSamples ? std::min(factor, kUnconfirmedFactor) : factor;
+    };
+    const auto &latency = servers_[server.value()].latency;
+    return std::max(ratio(latency.firstToken, medianFirstToken_),
+                    ratio(latency.tokenGap, medianTokenGap_));
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/state/placement.cpp
@@ -0,0 +1,128 @@
+#include "placement.h"
+
+#include <algorithm>
+
+namespace crocusport {
+
+namespace {
+
+constexpr std::size_t kCandidates = 8;
+//! Slots for remembered prefixes; a power of two. 16384 entries need 256 KiB in each pool.
+constexpr std::size_t kPrefixEntries = 16'384;
+//! Slow factors up to this are within the noise of the load.
+constexpr double kToleratedSlowFactor = 2;
+//! A cached prefix is worth this share of a server's load.
+constexpr double kPrefixFactor = 0.5;
+//! Inside an availability zone the network delay is lower; breaks ties between equal loads.
+constexpr double kSameZoneFactor = 0.95;
+//! Tier-1 requests probe a slow server only when lower tiers have not done so for this time.
+constexpr Duration kUrgentProbeDelay = std::chrono::seconds(10);
+
+bool accepts(const BackendServerEntry &entry, const RequestRecord &record, bool marked)
+{
+    if (marked && entry.markedRunning > 0)
+        return false;
+    return std::find(record.excluded.begin(), record.excluded.end(), entry.server.name)
+        == record.excluded.end();
+}
+
+//! Returns the cost of placing \a record; lower is better.
+double scoreOf(const BackendServerEntry &entry, const RequestRecord &record, bool hasPrefix)
+{
+    auto score = (entry.running + 1.0) / entry.server.slots;
+    if (entry.slowFactor > kToleratedSlowFactor)
+        score *= entry.slowFactor;
+    if (hasPrefix)
+        score *= kPrefixFactor;
+    if (entry.zone == record.zone)
+        score *= kSameZoneFactor;
+    return score;
+}
+
+//! Returns the first member of \a set that accepts \a record.
+std::optional<ServerIndex> firstAccepting(const BackendServerTable &servers, const IndexSet &set,
+                                          const RequestRecord &record, bool marked)
+{
+    for (std::size_t i = 0; i < set.size(); ++i) {
+        if (accepts(servers.at(set.at(i)), record, marked))
+            return set.at(i);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+Placement::Placement(std::uint64_t seed) : random_(seed) { }
+
+ServerIndex Placement::sample(const IndexSet &set)
+{
+    return set.at(std::uniform_int_distribution<std::size_t>(0, set.size() - 1)(random_));
+}
+
+std::optional<ServerIndex> Placement::affinity(const RequestRecord &record) const
+{
+    if (record.prefix.value() == 0 || prefixes_.empty())
+        return std::nullopt;
+    const auto &entry = prefixes_[record.prefix.value() % kPrefixEntries];
+    return entry.prefix == record.prefix ? std::optional(entry.server) : std::nullopt;
+}
+
+void Placement::noteStart(const RequestRecord &record)
+{
+    if (record.prefix.value() == 0)
+        return;
+    prefixes_.resize(kPrefixEntries);
+    prefixes_[record.prefix.value() % kPrefixEntries] = { record.prefix, record.server };
+}
+
+std::optional<ServerIndex> Placement::chooseProbe(const BackendServerTable &servers,
+                                                  const RequestRecord &record, bool marked,
+                                                  Instant now)
+{
+    const auto &probes = servers.probes(record.length);
+    if (probes.empty())
+        return std::nullopt;
+    const auto index = firstAccepting(servers, probes, record, marked);
+    const bool mustWaitElse = servers.open(record.length).empty();
+    if (index && record.isUrgent() && !mustWaitElse
+        && now < servers.at(*index).nextProbe + kUrgentProbeDelay)
+        return std::nullopt;
+    return index;
+}
+
+std::optional<ServerIndex> Placement::chooseOpen(const BackendServerTable &servers,
+                                                 const RequestRecord &record, bool marked)
+{
+    const auto &open = servers.open(record.length);
+    if (open.empty())
+        return std::nullopt;
+    std::optional<ServerIndex> best;
+    double bestScore = 0;
+    const auto consider = [&](ServerIndex index, bool hasPrefix) {
+        const auto &entry = servers.at(index);
+        if (!accepts(entry, record, marked))
+            return;
+        const auto score = scoreOf(entry, record, hasPrefix);
+        if (!best || score < bestScore) {
+            best = index;
+            bestScore = score;
+        }
+    };
+    if (const auto index = affinity(record); index && open.contains(*index))
+        consider(*index, true);
+    const bool few = open.size() <= kCandidates;
+    for (std::size_t i = 0; i < std::min(kCandidates, open.size()); ++i)
+        consider(few ? open.at(i) : sample(open), false);
+    // The sample can consist of servers that a retried or marked request must avoid.
+    return best ? best : firstAccepting(servers, open, record, marked);
+}
+
+std::optional<ServerIndex> Placement::choose(const BackendServerTable &servers,
+                                             const RequestRecord &record, bool marked, Instant now)
+{
+    if (const auto probe = chooseProbe(servers, record, marked, now))
+        return probe;
+    return chooseOpen(servers, record, marked);
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/state/requestrecord.h
@@ -0,0 +1,71 @@
+#ifndef CROCUSPORT_REQUESTRECORD_H
+#define CROCUSPORT_REQUESTRECORD_H
+
+#include "crocusport/state/identifiers.h"
+#include "crocusport/state/instant.h"
+#include "nametable.h"
+
+#include <boost/intrusive/list_hook.hpp>
+#include <boost/intrusive/set_hook.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace crocusport {
+
+//! Whether a request is expected to run long (docs/design.md section 4.1, rule 4).
+enum class RequestLength : std::uint8_t { Short, Long };
+
+inline constexpr std::size_t kTierCount = kLowestTier;
+
+/*!
+    One request that waits for a slot or holds one.
+
+    The hooks link it into the ordered sets of the queue, so that queueing allocates nothing.
+*/
+struct RequestRecord
+{
+    using Hook = boost::intrusive::set_member_hook<>;
+    using ListHook = boost::intrusive::list_member_hook<
+        boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+
+    const RequestId *id = nullptr; //!< Owned by the RequestTable.
+    RouterName router;
+    Tier tier { kLowestTier };
+    TeamIndex team;
+    ClassIndex requestClass;
+    ZoneIndex zone;
+    ServerIndex server;      //!< Valid while running.
+    StartNumber serverStart; //!< The server's start number when the request started.
+    RequestLength length = RequestLength::Short;
+    bool running = false;
+    bool due = false;     //!< Its latest start has passed, or it has waited long enough.
+    bool marked = false;  //!< Running as a crash suspect.
+    bool learned = false; //!< The expected service time comes from measurements.
+    std::uint64_t sequence = 0;
+    Instant arrived;
+    Instant queued;
+    Instant deadline;
+    Instant latestStart; //!< Deadline minus twice the expected service time.
+    Instant dueAt;
+    Instant giveUpAt; //!< When the deadline can no longer be met.
+    Duration expected {};
+    PrefixHash prefix;
+    Fingerprint fingerprint;
+    std::vector<BackendServerName> excluded;
+
+    ListHook freshHook;  //!< Linked until the first decision after its arrival.
+    ListHook reviewHook; //!< Linked while waiting.
+    Hook laneHook;
+    Hook dueHook;
+    Hook giveUpHook;
+
+    std::size_t tierIndex() const { return static_cast<std::size_t>(tier.value() - kUrgentTier); }
+    bool isUrgent() const { return tier.value() == kUrgentTier; }
+    bool isLong() const { return length == RequestLength::Long; }
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_REQUESTRECORD_H
