State: Add the fair queue and the queue estimate

Cause: one large team must not delay a small one, and a refusal needs an estimate of the wait. Teams share by start-time fair queueing; ordered sets with hooks in the records replace scans and allocations. The estimate for tier 1 counts tier-1 requests only, waiting and running alike, so that lower tiers cannot cause a refusal. Conclusion: the queue answers which request is next in logarithmic time.

--- /dev/null
+++ b/src/state/queueestimator.h
@@ -0,0 +1,75 @@
+#ifndef CROCUSPORT_QUEUEESTIMATOR_H
+#define CROCUSPORT_QUEUEESTIMATOR_H
+
+#include "crocusport/state/poolscheduler.h"
+#include "fairqueue.h"
+#include "requestrecord.h"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace crocusport {
+
+//! Slots of a pool and how the policy divides them.
+struct PoolCapacity
+{
+    std::uint32_t slots = 0;
+    std::uint32_t longSlots = 0; //!< Open to long requests.
+    std::uint32_t floor = 1;     //!< For due requests of tiers 2 to 4.
+    std::uint32_t reserve = 0;   //!< Left free by tiers 2 to 4.
+};
+
+/*!
+    Estimates how long a request waits, from the expected service time of the requests in the
+    system. Short and long requests are estimated as separate queues, because long ones cannot use
+    all slots.
+
+    The estimate for tier 1 depends only on tier-1 requests, waiting and running alike, so that
+    requests of lower tiers cannot cause a refusal (docs/design.md section 4.1, rule 1).
+
+    Thread safety: none; use from one thread.
+*/
+class QueueEstimator
+{
+public:
+    //! Counts \a record as waiting or running, according to its state.
+    void add(const RequestRecord &record);
+    //! Precondition: added in the same state.
+    void remove(const RequestRecord &record);
+
+    //! Precondition: \a record is added as waiting and is in \a queue.
+    QueueEstimate estimate(const RequestRecord &record, const FairQueue &queue,
+                           const PoolCapacity &capacity, Instant now) const;
+    //! Returns the mean time between two starts in \a record's queue.
+    Duration slotInterval(const RequestRecord &record, const PoolCapacity &capacity) const;
+
+private:
+    struct Load
+    {
+        Duration waiting {};
+        Duration running {};
+        std::uint32_t count = 0;
+
+        Duration total() const { return waiting + running; }
+    };
+    struct LengthLoad
+    {
+        Load total;
+        std::vector<Load> teams;
+        std::uint32_t activeTeams = 0;
+    };
+    using TierLoad = std::array<LengthLoad, 2>;
+
+    const LengthLoad &loadOf(const RequestRecord &record) const;
+    std::uint32_t countOf(std::size_t tier) const;
+    double shareOfLowerTier(const RequestRecord &record, double available) const;
+    double slotsFor(const RequestRecord &record, const PoolCapacity &capacity) const;
+    double lowerTierSlots(const PoolCapacity &capacity) const;
+
+    std::array<TierLoad, kTierCount> tiers_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_QUEUEESTIMATOR_H
--- /dev/null
+++ b/src/state/waitingqueue.cpp
@@ -0,0 +1,116 @@
+#include "waitingqueue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace crocusport {
+
+namespace {
+
+//! What one microsecond of expected service time costs each tier: shares of 4:2:1 for tiers 2 to 4.
+constexpr std::array<int, kTierCount> kTierCosts = { 1, 1, 2, 4 };
+
+} // namespace
+
+bool WaitingQueue::EarlierDue::operator()(const RequestRecord &left,
+                                          const RequestRecord &right) const
+{
+    return std::tie(left.dueAt, left.sequence) < std::tie(right.dueAt, right.sequence);
+}
+
+bool WaitingQueue::EarlierGiveUp::operator()(const RequestRecord &left,
+                                             const RequestRecord &right) const
+{
+    return std::tie(left.giveUpAt, left.sequence) < std::tie(right.giveUpAt, right.sequence);
+}
+
+WaitingQueue::~WaitingQueue() = default;
+
+void WaitingQueue::insert(RequestRecord &record)
+{
+    auto &queue = tiers_[record.tierIndex()];
+    if (queue.size() == 0) {
+        auto &tag = tierTags_[record.tierIndex()];
+        tag = std::max(tag, tierVirtualTime_);
+    }
+    queue.insert(record);
+    giveUps_.insert(record);
+    if (!record.isUrgent() && !record.due)
+        dues_.insert(record);
+}
+
+void WaitingQueue::eraseTimes(RequestRecord &record)
+{
+    giveUps_.erase(giveUps_.iterator_to(record));
+    if (record.dueHook.is_linked())
+        dues_.erase(dues_.iterator_to(record));
+}
+
+void WaitingQueue::erase(RequestRecord &record)
+{
+    eraseTimes(record);
+    tiers_[record.tierIndex()].erase(record);
+}
+
+void WaitingQueue::start(RequestRecord &record)
+{
+    eraseTimes(record);
+    const auto tier = record.tierIndex();
+    tierVirtualTime_ = std::max(tierVirtualTime_, tierTags_[tier]);
+    tierTags_[tier] += record.expected * kTierCosts[tier];
+    tiers_[tier].start(record);
+}
+
+void WaitingQueue::setAside(RequestRecord &record)
+{
+    tiers_[record.tierIndex()].erase(record);
+}
+
+void WaitingQueue::restore(RequestRecord &record)
+{
+    tiers_[record.tierIndex()].restore(record);
+}
+
+void WaitingQueue::advance(Instant now)
+{
+    while (!dues_.empty() && dues_.begin()->dueAt <= now) {
+        auto &record = *dues_.begin();
+        dues_.erase(dues_.begin());
+        tiers_[record.tierIndex()].makeDue(record);
+    }
+}
+
+RequestRecord *WaitingQueue::firstHopeless(Instant now)
+{
+    if (giveUps_.empty() || giveUps_.begin()->giveUpAt > now)
+        return nullptr;
+    return &*giveUps_.begin();
+}
+
+std::optional<Instant> WaitingQueue::nextTime() const
+{
+    if (giveUps_.empty())
+        return std::nullopt;
+    const auto giveUp = giveUps_.begin()->giveUpAt;
+    return dues_.empty() ? giveUp : std::min(giveUp, dues_.begin()->dueAt);
+}
+
+RequestRecord *WaitingQueue::frontUrgent(LaneFilter filter)
+{
+    return tiers_.front().front(filter);
+}
+
+RequestRecord *WaitingQueue::frontLower(LaneFilter filter)
+{
+    RequestRecord *first = nullptr;
+    for (std::size_t tier = 1; tier < kTierCount; ++tier) {
+        auto *const candidate = tiers_[tier].front(filter);
+        if (candidate == nullptr)
+            continue;
+        if (first == nullptr || tierTags_[tier] < tierTags_[first->tierIndex()])
+            first = candidate;
+    }
+    return first;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/state/waitingqueue.h
@@ -0,0 +1,80 @@
+#ifndef CROCUSPORT_WAITINGQUEUE_H
+#define CROCUSPORT_WAITINGQUEUE_H
+
+#include "fairqueue.h"
+#include "requestrecord.h"
+
+#include <boost/intrusive/set.hpp>
+
+#include <array>
+#include <cstddef>
+#include <optional>
+
+namespace crocusport {
+
+/*!
+    The waiting requests of all tiers, with the times at which they become due or hopeless.
+    Tiers 2 to 4 share 4:2:1 by expected service time.
+
+    Thread safety: none; use from one thread.
+*/
+class WaitingQueue
+{
+public:
+    ~WaitingQueue();
+
+    void insert(RequestRecord &record);
+    //! Precondition: inserted and not yet removed.
+    void erase(RequestRecord &record);
+    //! Removes \a record because it starts. Precondition: as for erase().
+    void start(RequestRecord &record);
+    //! Removes \a record from the order of starts only, until restore(). Precondition: inserted.
+    void setAside(RequestRecord &record);
+    void restore(RequestRecord &record);
+
+    //! Moves requests that are due at \a now to the due ones.
+    void advance(Instant now);
+    //! Returns a request that can no longer meet its deadline at \a now, or nullptr.
+    RequestRecord *firstHopeless(Instant now);
+    //! When advance() or firstHopeless() has something to do.
+    std::optional<Instant> nextTime() const;
+
+    //! Returns the first tier-1 request that passes \a filter, or nullptr.
+    RequestRecord *frontUrgent(LaneFilter filter);
+    //! Returns the first request of tiers 2 to 4 that passes \a filter, or nullptr.
+    RequestRecord *frontLower(LaneFilter filter);
+
+    const FairQueue &tier(std::size_t tierIndex) const { return tiers_[tierIndex]; }
+    std::size_t size() const { return giveUps_.size(); }
+
+private:
+    struct EarlierDue
+    {
+        bool operator()(const RequestRecord &left, const RequestRecord &right) const;
+    };
+    struct EarlierGiveUp
+    {
+        bool operator()(const RequestRecord &left, const RequestRecord &right) const;
+    };
+    using DueTimes = boost::intrusive::set<
+        RequestRecord,
+        boost::intrusive::member_hook<RequestRecord, RequestRecord::Hook, &RequestRecord::dueHook>,
+        boost::intrusive::compare<EarlierDue>>;
+    using GiveUpTimes =
+        boost::intrusive::set<RequestRecord,
+                              boost::intrusive::member_hook<RequestRecord, RequestRecord::Hook,
+                                                            &RequestRecord::giveUpHook>,
+                              boost::intrusive::compare<EarlierGiveUp>>;
+
+    void eraseTimes(RequestRecord &record);
+
+    std::array<FairQueue, kTierCount> tiers_;
+    std::array<Duration, kTierCount> tierTags_ {};
+    Duration tierVirtualTime_ {};
+    DueTimes dues_;
+    GiveUpTimes giveUps_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_WAITINGQUEUE_H
