PoolScheduler: Replace the scans by the fair queue and the server table

Cause: the first version scanned all requests and servers for each decision and knew no fairness, no long requests and no slow servers. Seven deliberate faults in a scratch copy (headroom, floor, long share, two suspects, excluded, leaving, tier order) each failed it.

--- /dev/null
+++ b/src/state/poolschedulerprivate.cpp
@@ -0,0 +1,451 @@
+#include "poolschedulerprivate.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+//! A p90 above this multiple of the threshold also makes a class long: its mean hides the tail.
+constexpr int kLongTailFactor = 2;
+//! An estimate that is off by more than this share is replaced in waiting requests.
+constexpr double kQuoteTolerance = 0.25;
+//! Waiting requests that each decision checks anew, so that the cost stays constant.
+constexpr int kReviewsPerDecision = 2;
+//! From this number of slots on, the urgent headroom is at least one slot.
+constexpr std::uint32_t kMinSlotsForReserve = 4;
+constexpr Duration kCrashExpiryInterval = std::chrono::minutes(1);
+
+Duration allowanceOf(const RequestRecord &record)
+{
+    return std::max(record.deadline - record.arrived, Duration::zero());
+}
+
+/*!
+    Returns the time that \a record needs to meet its deadline once it starts. At most half of what
+    its caller allows: otherwise an estimate above that would refuse every request of the class,
+    and nothing could correct the estimate.
+*/
+Duration neededTime(const RequestRecord &record)
+{
+    return std::min(record.expected, allowanceOf(record) / 2);
+}
+
+std::uint32_t shareOf(std::uint32_t slots, double share)
+{
+    return static_cast<std::uint32_t>(std::max(1L, std::lround(share * slots)));
+}
+
+} // namespace
+
+PoolScheduler::Private::Private(const PoolPolicy &poolPolicy, std::uint64_t seed) : placement_(seed)
+{
+    setPolicy(poolPolicy);
+}
+
+void PoolScheduler::Private::setPolicy(const PoolPolicy &newPolicy)
+{
+    policy = newPolicy;
+    servers.setLongShare(policy.longShare);
+    changed = true;
+}
+
+RequestRecord &PoolScheduler::Private::createRecord(const SlotRequest &request, Instant now)
+{
+    auto &record = requests.create(request.request);
+    record.router = request.router;
+    record.tier = Tier(std::clamp(request.tier.value(), kUrgentTier, kLowestTier));
+    record.team = teams_.indexOf(request.team);
+    record.requestClass = classes_.indexOf(request.requestClass);
+    record.zone = servers.zoneOf(request.zone);
+    record.arrived = std::min(request.arrived, now);
+    record.deadline = request.deadline;
+    record.prefix = request.prefix;
+    record.fingerprint = request.fingerprint;
+    record.excluded = request.excluded;
+    quote(record);
+    return record;
+}
+
+void PoolScheduler::Private::quote(RequestRecord &record)
+{
+    const auto estimate = serviceTimes_.estimate(record.requestClass, record.team);
+    const bool isLong = estimate.mean > policy.longThreshold
+        || estimate.p90 > policy.longThreshold * kLongTailFactor;
+    record.expected = estimate.mean;
+    record.learned = estimate.learned;
+    record.length = isLong ? RequestLength::Long : RequestLength::Short;
+    record.latestStart = record.deadline - 2 * record.expected;
+    record.dueAt = std::min(record.latestStart, record.arrived + policy.floorAfter);
+    record.giveUpAt = record.deadline - neededTime(record);
+}
+
+bool PoolScheduler::Private::quoteChanged(const RequestRecord &record) const
+{
+    const auto current = serviceTimes_.estimate(record.requestClass, record.team);
+    const auto difference = std::chrono::abs(current.mean - record.expected);
+    return static_cast<double>(difference.count())
+        > kQuoteTolerance * static_cast<double>(record.expected.count());
+}
+
+void PoolScheduler::Private::enqueue(RequestRecord &record)
+{
+    estimator_.add(record);
+    queue_.insert(record);
+    reviews_.push_back(record);
+}
+
+void PoolScheduler::Private::dequeue(RequestRecord &record)
+{
+    estimator_.remove(record);
+    queue_.erase(record);
+    record.reviewHook.unlink();
+}
+
+void PoolScheduler::Private::occupy(RequestRecord &record, ServerIndex server)
+{
+    record.server = server;
+    record.serverStart = servers.at(server).server.start;
+    record.running = true;
+    servers.occupy(record);
+    estimator_.add(record);
+    lowerRunning_ += record.isUrgent() ? 0 : 1;
+}
+
+void PoolScheduler::Private::submit(const SlotRequest &request, Instant now)
+{
+    if (requests.find(request.request) != nullptr)
+        return;
+    auto &record = createRecord(request, now);
+    changed = true;
+    if (request.runningOn) {
+        record.marked = crashes_.isMarked(record.fingerprint);
+        occupy(record, servers.indexOf(*request.runningOn));
+        return;
+    }
+    enqueue(record);
+    fresh_.push_back(record);
+}
+
+void PoolScheduler::Private::remove(RequestRecord &record)
+{
+    if (record.running) {
+        servers.vacate(record);
+        estimator_.remove(record);
+        lowerRunning_ -= record.isUrgent() ? 0 : 1;
+    } else {
+        dequeue(record);
+    }
+    requests.remove(record);
+    changed = true;
+}
+
+void PoolScheduler::Private::learn(const RequestRecord &record, const SlotRelease &release)
+{
+    if (release.reason != ReleaseReason::Completed || release.serviceTime <= Duration::zero())
+        return;
+    serviceTimes_.add(record.requestClass, record.team, release.serviceTime);
+    // What a previous start of the server measured says nothing about the current one.
+    if (record.serverStart != servers.at(record.server).server.start)
+        return;
+    latencies_.add(record.server, record.serverStart, record.requestClass, release);
+    servers.setSlowFactor(record.server, latencies_.slowFactor(record.server));
+}
+
+void PoolScheduler::Private::release(const SlotRelease &release, Instant now)
+{
+    auto *const record = requests.find(release.request);
+    if (record == nullptr || !record->running)
+        return;
+    servers.advance(now);
+    learn(*record, release);
+    if (release.reason == ReleaseReason::Crashed)
+        recordCrash(*record, now);
+    else if (release.reason == ReleaseReason::Completed)
+        crashes_.clear(record->fingerprint);
+    remove(*record);
+}
+
+void PoolScheduler::Private::recordCrash(const RequestRecord &record, Instant now)
+{
+    const auto &server = servers.at(record.server);
+    const auto crash = crashId(server.server.name, record.serverStart);
+    if (record.marked)
+        crashes_.attribute(record.fingerprint, crash, now);
+    else if (server.markedRunning == 0)
+        crashes_.add(record.fingerprint, crash, now);
+    crashesChanged_ = true;
+    markRunning(record.fingerprint);
+}
+
+void PoolScheduler::Private::addCrashMark(Fingerprint fingerprint, const std::string &crash,
+                                          Instant now)
+{
+    crashes_.add(fingerprint, crash, now);
+    crashesChanged_ = true;
+    changed = true;
+    markRunning(fingerprint);
+}
+
+void PoolScheduler::Private::markRunning(Fingerprint fingerprint)
+{
+    if (!crashes_.isMarked(fingerprint))
+        return;
+    const auto unmarked = requests.select([&](const RequestRecord &record) {
+        return record.running && !record.marked && record.fingerprint == fingerprint;
+    });
+    for (auto *const record : unmarked) {
+        record->marked = true;
+        servers.addMarked(record->server);
+    }
+}
+
+void PoolScheduler::Private::refreshSlowFactors(Instant now)
+{
+    if (!latencies_.refreshMedians(servers, now))
+        return;
+    for (std::uint32_t i = 0; i < servers.entries().size(); ++i)
+        servers.setSlowFactor(ServerIndex(i), latencies_.slowFactor(ServerIndex(i)));
+}
+
+void PoolScheduler::Private::expireCrashes(Instant now)
+{
+    if (now < nextExpiry_)
+        return;
+    crashes_.expire(now);
+    nextExpiry_ = now + kCrashExpiryInterval;
+}
+
+PoolCapacity PoolScheduler::Private::capacity() const
+{
+    const auto slots = servers.slots();
+    return { .slots = slots,
+             .longSlots = servers.longSlots(),
+             .floor = shareOf(slots, policy.backgroundShare),
+             .reserve = slots < kMinSlotsForReserve ? 0 : shareOf(slots, policy.urgentReserve) };
+}
+
+QueueEstimate PoolScheduler::Private::estimate(const RequestRecord &record, Instant now) const
+{
+    if (record.running)
+        return {};
+    return estimator_.estimate(record, queue_.tier(record.tierIndex()), capacity(), now);
+}
+
+std::optional<Instant> PoolScheduler::Private::nextDecisionTime(Instant now) const
+{
+    if (changed)
+        return now;
+    auto next = queue_.nextTime();
+    if (next && servers.nextTime())
+        next = std::min(*next, *servers.nextTime());
+    return next;
+}
+
+SchedulerDecisions PoolScheduler::Private::decide(Instant now)
+{
+    servers.advance(now);
+    queue_.advance(now);
+    refreshSlowFactors(now);
+    expireCrashes(now);
+    refuseSuspects(now);
+    refuseHopeless(now);
+    startAll(now);
+    admitFresh(now);
+    review(now);
+    changed = false;
+    return std::exchange(decisions_, {});
+}
+
+bool PoolScheduler::Private::canRun(const RequestRecord &record) const
+{
+    if (record.excluded.size() < servers.presentCount())
+        return true;
+    auto names = record.excluded;
+    std::sort(names.begin(), names.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
+    const auto excluded = std::count_if(names.begin(), names.end(),
+                                        [&](const auto &name) { return servers.isPresent(name); });
+    return static_cast<std::uint32_t>(excluded) < servers.presentCount();
+}
+
+std::optional<ResultCode> PoolScheduler::Private::refusalReason(const RequestRecord &record,
+                                                                Instant now) const
+{
+    if (!canRun(record))
+        return ResultCode::NoBackendServer;
+    // The default for unknown classes is too coarse to refuse by it.
+    if (!record.learned)
+        return std::nullopt;
+    auto wait = estimate(record, now).wait;
+    if (servers.slots() == 0)
+        wait = servers.nextReturn().value_or(now) - now;
+    if (now + wait + neededTime(record) > record.deadline)
+        return ResultCode::DeadlineUnreachable;
+    return std::nullopt;
+}
+
+Duration PoolScheduler::Private::retryAfter(const RequestRecord &record, Instant now) const
+{
+    // A new attempt has the whole allowance again, so only the excess has to pass first.
+    const auto wait = estimate(record, now).wait;
+    const auto tolerable = allowanceOf(record) - neededTime(record);
+    return std::max(wait - tolerable, estimator_.slotInterval(record, capacity()));
+}
+
+void PoolScheduler::Private::refuse(RequestRecord &record, ResultCode code, Duration retryAfter)
+{
+    decisions_.refusals.push_back({ .request = *record.id,
+                                    .router = record.router,
+                                    .pool = policy.name,
+                                    .code = static_cast<int>(code),
+                                    .retryAfter = retryAfter });
+    remove(record);
+}
+
+void PoolScheduler::Private::refuseSuspects(Instant now)
+{
+    const auto refuseIfSuspect = [&](RequestRecord &record) {
+        if (const auto until = crashes_.refusedUntil(record.fingerprint, now))
+            refuse(record, ResultCode::SuspectedCrashCause, *until - now);
+    };
+    if (std::exchange(crashesChanged_, false)) {
+        const auto isWaiting = [](const RequestRecord &record) { return !record.running; };
+        for (auto *const record : requests.select(isWaiting))
+            refuseIfSuspect(*record);
+        return;
+    }
+    for (auto it = fresh_.begin(); it != fresh_.end();)
+        refuseIfSuspect(*it++);
+}
+
+void PoolScheduler::Private::refuseHopeless(Instant now)
+{
+    while (auto *const record = queue_.firstHopeless(now))
+        refuse(*record, ResultCode::DeadlinePassed, retryAfter(*record, now));
+}
+
+void PoolScheduler::Private::admitFresh(Instant now)
+{
+    refuseAboveBound(now);
+    while (!fresh_.empty()) {
+        auto &record = fresh_.front();
+        fresh_.pop_front();
+        refuseUnreachable(record, now);
+    }
+}
+
+void PoolScheduler::Private::refuseAboveBound(Instant now)
+{
+    // From the newest on, so that those that have waited longest stay.
+    for (auto it = fresh_.end(); it != fresh_.begin();) {
+        auto &record = *std::prev(it);
+        // Tier-1 requests that wait only because lower tiers run must not be refused for it.
+        const auto bound = policy.maxQueuedPerTier + (record.isUrgent() ? lowerRunning_ : 0);
+        if (queue_.tier(record.tierIndex()).size() > bound)
+            refuse(record, ResultCode::QueueFull,
+                   std::max(estimate(record, now).wait, retryAfter(record, now)));
+        else
+            --it;
+    }
+}
+
+void PoolScheduler::Private::refuseUnreachable(RequestRecord &record, Instant now)
+{
+    if (const auto reason = refusalReason(record, now))
+        refuse(record, *reason, retryAfter(record, now));
+}
+
+void PoolScheduler::Private::review(Instant now)
+{
+    auto remaining = std::min<std::size_t>(kReviewsPerDecision, queue_.size());
+    if (std::exchange(capacityFell, false))
+        remaining = queue_.size();
+    for (; remaining > 0 && !reviews_.empty(); --remaining) {
+        auto &record = reviews_.front();
+        reviews_.pop_front();
+        reviews_.push_back(record);
+        if (quoteChanged(record)) {
+            dequeue(record);
+            quote(record);
+            enqueue(record);
+        }
+        refuseUnreachable(record, now);
+    }
+}
+
+void PoolScheduler::Private::startAll(Instant now)
+{
+    while (startNext(now)) {
+    }
+    for (auto *const record : setAside_)
+        queue_.restore(*record);
+    setAside_.clear();
+}
+
+bool PoolScheduler::Private::startNext(Instant now)
+{
+    const auto hasSlot = [&] {
+        return !servers.open(RequestLength::Short).empty()
+            || !servers.probes(RequestLength::Short).empty();
+    };
+    if (!hasSlot())
+        return false;
+    const auto limits = capacity();
+    if (lowerRunning_ < limits.floor && startFirst(Pick::LowerDue, now))
+        return true;
+    if (startFirst(Pick::Urgent, now))
+        return true;
+    return servers.freeSlots() > limits.reserve && startFirst(Pick::Lower, now);
+}
+
+RequestRecord *PoolScheduler::Private::front(Pick pick)
+{
+    const bool longPossible =
+        !servers.open(RequestLength::Long).empty() || !servers.probes(RequestLength::Long).empty();
+    switch (pick) {
+    case Pick::Urgent:
+        return queue_.frontUrgent(longPossible ? LaneFilter::Any : LaneFilter::Short);
+    case Pick::Lower:
+        return queue_.frontLower(longPossible ? LaneFilter::Any : LaneFilter::Short);
+    case Pick::LowerDue:
+        return queue_.frontLower(longPossible ? LaneFilter::Due : LaneFilter::DueShort);
+    }
+    return nullptr;
+}
+
+bool PoolScheduler::Private::startFirst(Pick pick, Instant now)
+{
+    while (auto *const record = front(pick)) {
+        const bool marked = crashes_.isMarked(record->fingerprint);
+        if (const auto server = placement_.choose(servers, *record, marked, now)) {
+            start(*record, *server, marked);
+            return true;
+        }
+        // Slots only become fewer during a decision, so it need not be tried again in this one.
+        queue_.setAside(*record);
+        setAside_.push_back(record);
+    }
+    return false;
+}
+
+void PoolScheduler::Private::start(RequestRecord &record, ServerIndex server, bool marked)
+{
+    estimator_.remove(record);
+    queue_.start(record);
+    record.freshHook.unlink();
+    record.reviewHook.unlink();
+    record.marked = marked;
+    occupy(record, server);
+    if (servers.at(server).slow)
+        servers.noteProbe(server);
+    placement_.noteStart(record);
+    decisions_.grants.push_back({ .request = *record.id,
+                                  .router = record.router,
+                                  .pool = policy.name,
+                                  .server = servers.at(server).server.name });
+}
+
+} // namespace crocusport
