PoolScheduler: Unmark running requests when their crashes are cleared

Cause: the random-call property failed with 1,000 sequences a run: after a marked request had completed, others with its fingerprint that were still running kept their mark, so their server refused other suspects and a later crash was attributed to them. The model had two faults of its own: it took the crash id from the server's current start instead of the start at which the request began, and let a later, shorter exclusion of a server replace a longer one. Both are corrected; the checks themselves are unchanged. The work ahead of a request is only searched when the work of its whole team is too much for its deadline.

--- a/src/state/backendservertable.cpp
+++ b/src/state/backendservertable.cpp
@@ -157,14 +157,13 @@
     refresh(record.server);
 }
 
-void BackendServerTable::addMarked(ServerIndex index)
+void BackendServerTable::setMarked(RequestRecord &record, bool marked)
 {
-    ++entries_[index.value()].markedRunning;
-}
-
-void BackendServerTable::removeMarked(ServerIndex index)
-{
-    --entries_[index.value()].markedRunning;
+    if (record.marked == marked)
+        return;
+    record.marked = marked;
+    auto &count = entries_[record.server.value()].markedRunning;
+    count = marked ? count + 1 : count - 1;
 }
 
 void BackendServerTable::setSlowFactor(ServerIndex index, double factor)
--- a/src/state/backendservertable.h
+++ b/src/state/backendservertable.h
@@ -58,10 +58,8 @@
     void occupy(const RequestRecord &record);
     //! Precondition: occupy() was called for \a record.
     void vacate(const RequestRecord &record);
-    //! Counts a request that was not marked when it started as marked.
-    void addMarked(ServerIndex index);
-    //! Precondition: addMarked() or occupy() counted it.
-    void removeMarked(ServerIndex index);
+    //! Changes whether the running \a record counts as a crash suspect.
+    void setMarked(RequestRecord &record, bool marked);
     void setSlowFactor(ServerIndex index, double factor);
     //! Postpones the next probe of a slow server.
     void noteProbe(ServerIndex index);
--- a/src/state/fairqueue.h
+++ b/src/state/fairqueue.h
@@ -56,7 +56,7 @@
 private:
     static constexpr std::size_t kFilterCount = 4;
     static constexpr std::size_t kLaneCount = 4;
-    static constexpr int kMaxSteps = 128;
+    static constexpr int kMaxSteps = 64;
 
     struct EarlierStart
     {
--- a/src/state/poolschedulerprivate.cpp
+++ b/src/state/poolschedulerprivate.cpp
@@ -164,7 +164,7 @@
     if (release.reason == ReleaseReason::Crashed)
         recordCrash(*record, now);
     else if (release.reason == ReleaseReason::Completed)
-        crashes_.clear(record->fingerprint);
+        clearCrashes(record->fingerprint);
     remove(*record);
 }
 
@@ -177,7 +177,7 @@
     else if (server.markedRunning == 0)
         crashes_.add(record.fingerprint, crash, now);
     crashesChanged_ = true;
-    markRunning(record.fingerprint);
+    setMarked(record.fingerprint, crashes_.isMarked(record.fingerprint));
 }
 
 void PoolScheduler::Private::addCrashMark(Fingerprint fingerprint, const std::string &crash,
@@ -186,20 +186,24 @@
     crashes_.add(fingerprint, crash, now);
     crashesChanged_ = true;
     changed = true;
-    markRunning(fingerprint);
+    setMarked(fingerprint, crashes_.isMarked(fingerprint));
 }
 
-void PoolScheduler::Private::markRunning(Fingerprint fingerprint)
+void PoolScheduler::Private::clearCrashes(Fingerprint fingerprint)
 {
     if (!crashes_.isMarked(fingerprint))
         return;
-    const auto unmarked = requests.select([&](const RequestRecord &record) {
-        return record.running && !record.marked && record.fingerprint == fingerprint;
+    crashes_.clear(fingerprint);
+    setMarked(fingerprint, false);
+}
+
+void PoolScheduler::Private::setMarked(Fingerprint fingerprint, bool marked)
+{
+    const auto toChange = requests.select([&](const RequestRecord &record) {
+        return record.running && record.marked != marked && record.fingerprint == fingerprint;
     });
-    for (auto *const record : unmarked) {
-        record->marked = true;
-        servers.addMarked(record->server);
-    }
+    for (auto *const record : toChange)
+        servers.setMarked(*record, marked);
 }
 
 void PoolScheduler::Private::refreshSlowFactors(Instant now)
@@ -231,7 +235,9 @@
 {
     if (record.running)
         return {};
-    return estimator_.estimate(record, queue_.tier(record.tierIndex()), capacity(), now);
+    const auto ahead =
+        queue_.tier(record.tierIndex()).workAheadInTeam(record, estimator_.waitingOfTeam(record));
+    return estimator_.estimate(record, ahead, capacity(), now);
 }
 
 std::optional<Instant> PoolScheduler::Private::nextDecisionTime(Instant now) const
@@ -279,12 +285,15 @@
     // The default for unknown classes is too coarse to refuse by it.
     if (!record.learned)
         return std::nullopt;
-    auto wait = estimate(record, now).wait;
-    if (servers.slots() == 0)
-        wait = servers.nextReturn().value_or(now) - now;
-    if (now + wait + neededTime(record) > record.deadline)
+    const auto tolerable = record.deadline - now - neededTime(record);
+    if (servers.slots() == 0 && servers.nextReturn().value_or(now) - now > tolerable)
         return ResultCode::DeadlineUnreachable;
-    return std::nullopt;
+    // Finding the work ahead is only worth its cost when the work of the whole team is too much.
+    const auto ofTeam = estimator_.waitingOfTeam(record);
+    if (estimator_.estimate(record, ofTeam, capacity(), now).wait <= tolerable
+        || estimate(record, now).wait <= tolerable)
+        return std::nullopt;
+    return ResultCode::DeadlineUnreachable;
 }
 
 Duration PoolScheduler::Private::retryAfter(const RequestRecord &record, Instant now) const
--- a/src/state/poolschedulerprivate.h
+++ b/src/state/poolschedulerprivate.h
@@ -67,7 +67,8 @@
     void occupy(RequestRecord &record, ServerIndex server);
     void learn(const RequestRecord &record, const SlotRelease &release);
     void recordCrash(const RequestRecord &record, Instant now);
-    void markRunning(Fingerprint fingerprint);
+    void clearCrashes(Fingerprint fingerprint);
+    void setMarked(Fingerprint fingerprint, bool marked);
     void refreshSlowFactors(Instant now);
     void expireCrashes(Instant now);
 
--- a/src/state/queueestimator.cpp
+++ b/src/state/queueestimator.cpp
@@ -93,7 +93,12 @@
     return scaled(total.total(), 1 / (slotsFor(record, capacity) * total.count));
 }
 
-QueueEstimate QueueEstimator::estimate(const RequestRecord &record, const FairQueue &queue,
+Duration QueueEstimator::waitingOfTeam(const RequestRecord &record) const
+{
+    return loadOf(record).teams[record.team.value()].waiting;
+}
+
+QueueEstimate QueueEstimator::estimate(const RequestRecord &record, Duration aheadInTeam,
                                        const PoolCapacity &capacity, Instant now) const
 {
     const auto &load = loadOf(record);
@@ -105,7 +110,7 @@
         return { .position = 0, .wait = untilDue };
     // Under fair sharing every active team is served as much as this one before it starts.
     const auto &team = load.teams[record.team.value()];
-    const auto ofTeam = queue.workAheadInTeam(record, team.waiting) + team.running;
+    const auto ofTeam = aheadInTeam + team.running;
     const auto ahead = std::min(ofTeam * load.activeTeams, load.total.total() - record.expected);
     // As many requests as there are slots are served at once, so their work delays nobody.
     const auto interval = slotInterval(record, capacity);
--- a/src/state/queueestimator.h
+++ b/src/state/queueestimator.h
@@ -2,7 +2,6 @@
 #define CROCUSPORT_QUEUEESTIMATOR_H
 
 #include "crocusport/state/poolscheduler.h"
-#include "fairqueue.h"
 #include "requestrecord.h"
 
 #include <array>
@@ -38,8 +37,13 @@
     //! Precondition: added in the same state.
     void remove(const RequestRecord &record);
 
-    //! Precondition: \a record is added as waiting and is in \a queue.
-    QueueEstimate estimate(const RequestRecord &record, const FairQueue &queue,
+    //! Returns the work of the waiting requests of \a record's team, tier and length.
+    Duration waitingOfTeam(const RequestRecord &record) const;
+    /*!
+        Returns the estimate for \a record when requests of its team with \a aheadInTeam of work
+        start before it. Precondition: \a record is added as waiting.
+    */
+    QueueEstimate estimate(const RequestRecord &record, Duration aheadInTeam,
                            const PoolCapacity &capacity, Instant now) const;
     //! Returns the mean time between two starts in \a record's queue.
     Duration slotInterval(const RequestRecord &record, const PoolCapacity &capacity) const;
--- a/tests/state/schedulermodel.cpp
+++ b/tests/state/schedulermodel.cpp
@@ -132,7 +132,8 @@
         scheduler_.markLeaving(server.server.name, server.server.start);
         break;
     case Call::Kind::Fail:
-        server.unavailableUntil = now_ + std::chrono::seconds(call.second % 10);
+        server.unavailableUntil = std::max(server.unavailableUntil,
+                                           now_ + Duration(std::chrono::seconds(call.second % 10)));
         scheduler_.markUnavailable(server.server.name, server.server.start,
                                    server.unavailableUntil);
         break;
@@ -160,20 +161,22 @@
 {
     scheduler_.submit(request, now_);
     if (request.runningOn)
-        running_.emplace(request.request, Request { .request = request });
+        running_.emplace(
+            request.request,
+            Request { .request = request, .start = servers_.at(*request.runningOn).server.start });
     else
         waiting_.emplace(request.request, std::move(request));
 }
 
 void SchedulerModel::recordCrash(const Request &request)
 {
-    const auto &server = servers_.at(*request.request.runningOn).server;
-    const auto crash = crashId(server.name, server.start);
-    const auto others = runningOn(server.name);
+    const auto &server = *request.request.runningOn;
+    const auto crash = crashId(server, request.start);
+    const auto others = runningOn(server);
     const bool markedThere = std::any_of(others.begin(), others.end(), [&](const Request *other) {
-        return other->marked || crashes_.isMarked(other->request.fingerprint);
+        return crashes_.isMarked(other->request.fingerprint);
     });
-    if (request.marked || crashes_.isMarked(request.request.fingerprint))
+    if (crashes_.isMarked(request.request.fingerprint))
         crashes_.attribute(request.request.fingerprint, crash, now_);
     else if (!markedThere)
         crashes_.add(request.request.fingerprint, crash, now_);
@@ -251,7 +254,7 @@
     const auto longRunning = std::count_if(
         others.begin(), others.end(), [](const auto *other) { return isLong(other->request); });
     const auto markedRunning = std::count_if(others.begin(), others.end(), [&](const auto *other) {
-        return other->marked || crashes_.isMarked(other->request.fingerprint);
+        return crashes_.isMarked(other->request.fingerprint);
     });
     const auto longLimit = std::max(1.0, std::floor(policy_.longShare * server.server.slots));
     return usable(server) && others.size() < server.server.slots
@@ -289,8 +292,9 @@
     waiting_.erase(found);
     checkGrant(request, servers_.at(grant.server), urgentWaiting);
     request.runningOn = grant.server;
-    const bool marked = crashes_.isMarked(request.fingerprint);
-    running_.emplace(grant.request, Request { .request = request, .marked = marked });
+    running_.emplace(
+        grant.request,
+        Request { .request = request, .start = servers_.at(grant.server).server.start });
 }
 
 void SchedulerModel::applyRefusal(const SlotRefusal &refusal)
--- a/tests/state/schedulermodel.h
+++ b/tests/state/schedulermodel.h
@@ -54,7 +54,7 @@
     struct Request
     {
         SlotRequest request;
-        bool marked = false;
+        StartNumber start; //!< Of its server when the request started.
     };
     struct Server
     {
