--- a/src/state/poolscheduler.cpp
+++ b/src/state/poolscheduler.cpp
@@ -1,26 +1,10 @@
 #include "crocusport/state/poolscheduler.h"
 
 #include "poolschedulerprivate.h"
-
-#include <algorithm>
+#include "serverstatus.h"
 
 namespace crocusport {
 
-namespace {
-
-std::string reasonOfExclusion(const BackendServerEntry &entry, Instant now)
-{
-    if (!entry.listed)
-        return "not in the host list";
-    if (entry.leaving)
-        return "leaving";
-    if (entry.unavailableUntil > now)
-        return "unavailable";
-    return entry.slow ? "slow" : "";
-}
-
-} // namespace
-
 PoolScheduler::PoolScheduler(const PoolPolicy &policy, std::uint64_t seed)
     : d_(std::make_unique<Private>(policy, seed))
 { }
@@ -100,20 +84,11 @@
 
 PoolStatus PoolScheduler::status(Instant now) const
 {
-    PoolStatus status { .pool = d_->policy.name, .waitingByTier = {}, .servers = {} };
+    PoolStatus status { .pool = d_->policy.name,
+                        .waitingByTier = {},
+                        .servers = serverStatus(d_->servers, now) };
     for (std::size_t tier = 0; tier < kTierCount; ++tier)
         status.waitingByTier.push_back(d_->waitingInTier(tier));
-    for (const auto &entry : d_->servers.entries()) {
-        if (!entry.listed && entry.running == 0)
-            continue;
-        status.servers.push_back({ .server = entry.server,
-                                   .running = entry.running,
-                                   .slowFactor = entry.slowFactor,
-                                   .excludedBecause = reasonOfExclusion(entry, now) });
-    }
-    std::sort(
-        status.servers.begin(), status.servers.end(),
-        [](const auto &left, const auto &right) { return left.server.name < right.server.name; });
     return status;
 }
 
