ClaimDocument: Use the claim record of the coordination layer

The coordination layer holds the response as opaque text, so the stored response has a codec of its own (CBOR, since it holds bytes) and the claim carries it in base64.

--- a/src/protocol/claimdocument.cpp
+++ b/src/protocol/claimdocument.cpp
@@ -1,10 +1,18 @@
 #include "crocusport/protocol/claimdocument.h"
 
+#include "cborstructure.h"
 #include "jsonfields.h"
 #include "jsontext.h"
 
 namespace crocusport {
 
+namespace {
+
+// In base64, with the other fields.
+constexpr std::size_t kMaxClaimBytes = 2 * kMaxStoredBodyBytes;
+
+} // namespace
+
 template<>
 struct EnumNames<ClaimState>
 {
@@ -15,11 +23,11 @@
 void describe(auto &fields, Is<StoredResponse> auto &response)
 {
     fields.required("status", response.status);
-    fields.defaulted("content_type", response.contentType);
-    fields.base64("body", response.body);
+    fields.required("type", response.contentType);
+    fields.bytes("body", response.body);
 }
 
-void describe(auto &fields, Is<Claim> auto &claim)
+void describe(auto &fields, Is<ClaimRecord> auto &claim)
 {
     fields.required("router", claim.router);
     fields.required("incarnation", claim.incarnation);
@@ -27,29 +35,59 @@
     fields.required("attempt", claim.attempt);
     fields.required("body_sha256", claim.bodyHash);
     fields.required("state", claim.state);
-    fields.optional("response", claim.response);
+    fields.optionalBase64("response", claim.response);
+}
+
+std::optional<std::string> writeStoredResponse(const StoredResponse &response)
+{
+    if (response.body.size() > kMaxStoredBodyBytes)
+        return std::nullopt;
+    std::string data;
+    nlohmann::json::to_cbor(FieldWriter::toJson(response), data);
+    return data;
+}
+
+Result<StoredResponse> parseStoredResponse(std::string_view data)
+{
+    if (const auto fault = findCborFault(data, CborLimits {}); !fault.empty())
+        return makeError(ResultCode::MalformedMessage, "stored response: " + std::string(fault));
+    const auto json = nlohmann::json::from_cbor(data, true, false);
+    StoredResponse response;
+    FieldReader reader(json);
+    describe(reader, response);
+    if (!reader.error().empty())
+        return makeError(ResultCode::MalformedMessage, "stored response: " + reader.error());
+    return response;
+}
+
+std::string writeClaim(const ClaimRecord &claim)
+{
+    return writeJson(FieldWriter::toJson(claim));
 }
 
-Result<Claim> parseClaim(std::string_view text)
+Result<ClaimRecord> parseClaim(std::string_view text)
 {
+    if (text.size() > kMaxClaimBytes)
+        return makeError(ResultCode::MalformedMessage, "claim is too large");
     BOOST_LEAF_AUTO(json, parseJsonObject(text, "claim", ResultCode::MalformedMessage));
-    Claim claim;
+    ClaimRecord claim;
     FieldReader reader(json);
     describe(reader, claim);
-    if (reader.error().empty() && claim.response
-        && claim.response->body.size() > kMaxStoredBodyBytes)
-        reader.fail("response.body", "is too long");
     if (!reader.error().empty())
         return makeError(ResultCode::MalformedMessage, "claim: " + reader.error());
     return claim;
 }
 
-std::string writeClaim(const Claim &claim)
+ClaimCodec claimDocumentCodec()
 {
-    auto written = claim;
-    if (written.response && written.response->body.size() > kMaxStoredBodyBytes)
-        written.response.reset();
-    return writeJson(FieldWriter::toJson(written));
+    return { writeClaim, [](const std::string &text) {
+                return handleErrors(
+                    [&]() -> Result<std::optional<ClaimRecord>> {
+                        BOOST_LEAF_AUTO(claim, parseClaim(text));
+                        return std::optional(std::move(claim));
+                    },
+                    [](const Error &) { return std::optional<ClaimRecord> {}; });
+            } };
 }
 
 } // namespace crocusport
--- a/src/protocol/jsonfields.cpp
+++ b/src/protocol/jsonfields.cpp
@@ -11,6 +11,12 @@
     object_[key] = toBase64(value);
 }
 
+void FieldWriter::optionalBase64(const char *key, const std::optional<std::string> &value)
+{
+    if (value)
+        base64(key, *value);
+}
+
 FieldReader::FieldReader(const nlohmann::json &object) : object_(object)
 {
     if (!object.is_object())
@@ -54,6 +60,13 @@
         fail(key, "is not base64");
 }
 
+void FieldReader::optionalBase64(const char *key, std::optional<std::string> &value)
+{
+    value.reset();
+    if (find(key))
+        base64(key, value.emplace());
+}
+
 void FieldReader::decimal(const char *key, std::int64_t &value)
 {
     value = 0;
--- a/src/protocol/jsonfields.h
+++ b/src/protocol/jsonfields.h
@@ -81,6 +81,7 @@
 
     //! Adds a byte string as base64, which JSON can carry.
     void base64(const char *key, const std::string &value);
+    void optionalBase64(const char *key, const std::optional<std::string> &value);
     //! Adds a 64-bit integer as text, as in the JSON mapping of Protocol Buffers.
     void decimal(const char *key, std::int64_t value) { object_[key] = std::to_string(value); }
 
@@ -156,6 +157,7 @@
 
     //! Reads base64; an absent field is empty, as in the JSON mapping of Protocol Buffers.
     void base64(const char *key, std::string &value);
+    void optionalBase64(const char *key, std::optional<std::string> &value);
     //! Reads a 64-bit integer that may be text; an absent one is 0.
     void decimal(const char *key, std::int64_t &value);
 
--- a/tests/protocol/testplatformcodecs.cpp
+++ b/tests/protocol/testplatformcodecs.cpp
@@ -170,30 +170,38 @@
 
 SCENARIO("A claim is stored as a document")
 {
-    Claim claim { RouterName("r1"),
-                  Incarnation(5),
-                  RequestId("q1"),
-                  "a1",
-                  std::string(64, 'a'),
-                  ClaimState::Completed,
-                  StoredResponse { 200, "application/json", std::string("\x00\xFF{}", 4) } };
+    StoredResponse response { 200, "application/json", std::string("\x00\xFF{}", 4) };
+    const ClaimRecord claim { ClaimState::Completed,
+                              RouterName("r1"),
+                              Incarnation(5),
+                              RequestId("q1"),
+                              "a1",
+                              std::string(64, 'a'),
+                              writeStoredResponse(response) };
 
     // Guards against a retry that receives a response other than the one of its request.
     THEN("what was written is read back, also a body that is not UTF-8")
     {
-        REQUIRE(valueOf([&] { return parseClaim(writeClaim(claim)); }) == claim);
+        const auto read = claimDocumentCodec().decode(writeClaim(claim));
+        REQUIRE(read == claim);
+        REQUIRE(valueOf([&] { return parseStoredResponse(*read->response); }) == response);
     }
 
-    THEN("a response that is too large is left out")
+    THEN("a response that is too large is not stored, and the largest still is")
     {
-        claim.response->body.assign(kMaxStoredBodyBytes + 1, 'x');
-        const auto read = valueOf([&] { return parseClaim(writeClaim(claim)); });
-        REQUIRE(read->state == ClaimState::Completed);
-        REQUIRE_FALSE(read->response.has_value());
+        response.body.assign(kMaxStoredBodyBytes + 1, 'x');
+        REQUIRE_FALSE(writeStoredResponse(response).has_value());
+        response.body.pop_back();
+        auto largest = claim;
+        largest.response = writeStoredResponse(response);
+        REQUIRE(claimDocumentCodec().decode(writeClaim(largest)) == largest);
     }
 
     rc::prop("random and mutated claims never crash and errors are clear", [&] {
         const auto text = hostileInput(writeClaim(claim));
         requireClear(errorOf([&] { return parseClaim(text); }), { ResultCode::MalformedMessage });
+        const auto data = hostileInput(*claim.response);
+        requireClear(errorOf([&] { return parseStoredResponse(data); }),
+                     { ResultCode::MalformedMessage });
     });
 }
