Transport: Test HTTP limits, cut responses and callers that leave

Tests with raw sockets found three faults of the client: - With EVHTTP_CON_READ_ON_WRITE_ERROR, evhttp 2.1.12 never reports a close that follows an incomplete line; such calls ended only by ProgressTimeout. The flag is off now. A response sent before the whole request was read may be lost, which is reported as ClosedBeforeResponse. - evhttp reports a malformed chunk size as "too long". The client now has its own limits on body, chunk and Content-Length, so that the two differ. - evhttp accepts a Content-Length with a sign and takes one beyond 64 bits for the largest number. Both are rejected now.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -46,7 +46,7 @@
     ClosedBeforeResponse, //!< Bytes may have been received; no response began.
     ClosedMidResponse,
     ProgressTimeout,
-    Malformed,
+    Malformed, //!< Also a response head over 64 KiB.
     TooLarge,
 };
 
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -93,8 +93,8 @@
     evhttp_connection_set_timeout_tv(connection_, &disabled);
     evhttp_connection_set_retries(connection_, 0);
     evhttp_connection_set_max_headers_size(connection_, kMaxResponseHeadBytes);
-    // A server may answer and close without reading the whole request.
-    evhttp_connection_set_flags(connection_, EVHTTP_CON_READ_ON_WRITE_ERROR);
+    // EVHTTP_CON_READ_ON_WRITE_ERROR stays off: with it, evhttp 2.1.12 never reports a close that
+    // follows an incomplete line.
     evhttp_connection_set_closecb(connection_, &ClientConnection::onClosed, this);
     evbuffer_add_cb(bufferevent_get_output(bufferevent_), &ClientConnection::onOutput, this);
     evbuffer_add_cb(bufferevent_get_input(bufferevent_), &ClientConnection::onInput, this);
@@ -147,8 +147,6 @@
         CallState::endLater(current, HttpFailure::ConnectFailed);
         return;
     }
-    evhttp_connection_set_max_body_size(connection_,
-                                        static_cast<ev_ssize_t>(request.maxResponseBytes));
     isStarting_ = true;
     const int made =
         evhttp_make_request(connection_, makeRequest(request), *method, request.target.c_str());
@@ -220,6 +218,10 @@
         connection->failure_ = HttpFailure::Malformed;
         return -1;
     }
+    if (contentLength(request) > call->request().maxResponseBytes) {
+        connection->failure_ = HttpFailure::TooLarge;
+        return -1;
+    }
     HttpHeaders headers;
     const auto *const input = evhttp_request_get_input_headers(request);
     for (const auto *header = input->tqh_first; header; header = header->next.tqe_next)
@@ -240,10 +242,9 @@
     auto *const connection = static_cast<ClientConnection *>(self);
     if (connection->failure_)
         return;
-    if (error == EVREQ_HTTP_INVALID_HEADER)
+    // evhttp has no limit on the body here, so that "too long" means a malformed chunk size.
+    if (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG)
         connection->failure_ = HttpFailure::Malformed;
-    else if (error == EVREQ_HTTP_DATA_TOO_LONG)
-        connection->failure_ = HttpFailure::TooLarge;
     else if (connection->call_)
         connection->failure_ = connection->call_->closedFailure();
 }
@@ -277,13 +278,16 @@
         connection->call_->markSent();
 }
 
-void ClientConnection::onInput(evbuffer * /*buffer*/, const evbuffer_cb_info *info, void *self)
+void ClientConnection::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *self)
 {
     if (info->n_added == 0)
         return;
     auto *const connection = static_cast<ClientConnection *>(self);
-    if (connection->call_) {
-        connection->call_->markReceived();
+    if (const auto call = connection->call_) {
+        call->markReceived();
+        // evhttp hands a chunk over only when all of it is here.
+        if (evbuffer_get_length(buffer) > call->request().maxResponseBytes + kMaxResponseHeadBytes)
+            CallState::endLater(call, HttpFailure::TooLarge);
         return;
     }
     // A response to no request would be taken for the response to the next one.
--- a/src/transport/responseframing.cpp
+++ b/src/transport/responseframing.cpp
@@ -6,6 +6,11 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include <charconv>
+#include <cstring>
+#include <limits>
+#include <string_view>
+
 namespace crocusport {
 
 ResponseFraming responseFraming(evhttp_request *request)
@@ -19,6 +24,9 @@
     for (const auto *header = headers->tqh_first; header; header = header->next.tqe_next) {
         if (isEqualIgnoringCase(header->key, "Content-Length")) {
             ++lengths;
+            const std::string_view value = header->value;
+            if (value.empty() || value.find_first_not_of("0123456789") != std::string_view::npos)
+                return ResponseFraming::Malformed;
         } else if (isEqualIgnoringCase(header->key, "Transfer-Encoding")) {
             ++encodings;
             if (!isEqualIgnoringCase(header->value, "chunked"))
@@ -33,6 +41,18 @@
     return ResponseFraming::UntilClose;
 }
 
+std::uint64_t contentLength(evhttp_request *request)
+{
+    const char *const text =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "Content-Length");
+    if (!text)
+        return 0;
+    std::uint64_t length = 0;
+    const auto parsed = std::from_chars(text, text + std::strlen(text), length);
+    // responseFraming() has checked for digits only. evhttp would take the largest number it knows.
+    return parsed.ec == std::errc() ? length : std::numeric_limits<std::uint64_t>::max();
+}
+
 bool allowsReuse(evhttp_request *request)
 {
     // HTTP/1.0 servers close after each response unless they say otherwise.
--- a/src/transport/responseframing.h
+++ b/src/transport/responseframing.h
@@ -1,6 +1,8 @@
 #ifndef CROCUSPORT_RESPONSEFRAMING_H
 #define CROCUSPORT_RESPONSEFRAMING_H
 
+#include <cstdint>
+
 struct evhttp_request;
 
 namespace crocusport {
@@ -14,6 +16,8 @@
 
 //! Returns the framing of the response whose head \a request has received. Loop thread only.
 ResponseFraming responseFraming(evhttp_request *request);
+//! Returns the declared length of the body, or 0 when there is none. Loop thread only.
+std::uint64_t contentLength(evhttp_request *request);
 //! Whether the response lets its connection carry another request. Loop thread only.
 bool allowsReuse(evhttp_request *request);
 
--- /dev/null
+++ b/tests/transport/rawclient.h
@@ -0,0 +1,46 @@
+#ifndef CROCUSPORT_RAWCLIENT_H
+#define CROCUSPORT_RAWCLIENT_H
+
+#include "crocusport/state/identifiers.h"
+#include "crocusport/transport/eventloop.h"
+
+#include <string>
+#include <string_view>
+
+struct bufferevent;
+
+namespace crocusport {
+
+//! A TCP client that sends and records raw bytes.
+class RawClient
+{
+public:
+    RawClient(EventLoop &loop, const SocketAddress &address);
+    ~RawClient();
+
+    RawClient(const RawClient &) = delete;
+    RawClient &operator=(const RawClient &) = delete;
+
+    void send(std::string_view bytes);
+    //! Ends the sending direction once all is sent.
+    void closeSending();
+    //! Stops or starts to read.
+    void setReading(bool isReading);
+
+    const std::string &received() const { return received_; }
+    bool isClosed() const { return isClosed_; }
+    bool isReset() const { return isReset_; }
+
+private:
+    static void onRead(bufferevent *buffers, void *self);
+    static void onEvent(bufferevent *buffers, short what, void *self);
+
+    bufferevent *buffers_;
+    std::string received_;
+    bool isClosed_ = false;
+    bool isReset_ = false;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_RAWCLIENT_H
--- /dev/null
+++ b/tests/transport/servers.h
@@ -0,0 +1,14 @@
+#ifndef CROCUSPORT_SERVERS_H
+#define CROCUSPORT_SERVERS_H
+
+#include "crocusport/transport/httpserver.h"
+
+namespace crocusport {
+
+//! Returns a server on a free loopback port; throws when there is none.
+std::unique_ptr<HttpServer> makeServer(EventLoop &loop, HttpServer::Handler handler,
+                                       const HttpServerLimits &limits = {});
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_SERVERS_H
--- a/tests/transport/testhttp.cpp
+++ b/tests/transport/testhttp.cpp
@@ -1,33 +1,13 @@
 #include "callrecord.h"
 #include "looprunner.h"
+#include "servers.h"
 
 #include "crocusport/transport/httpclient.h"
-#include "crocusport/transport/httpserver.h"
-#include "crocusport/transport/timer.h"
 
 #include <catch2/catch.hpp>
 
-#include <stdexcept>
-
 using namespace crocusport;
 
-namespace {
-
-std::unique_ptr<HttpServer> makeServer(EventLoop &loop, HttpServer::Handler handler,
-                                       const HttpServerLimits &limits = {})
-{
-    return handleErrors(
-        [&] {
-            return HttpServer::create(loop, SocketAddress("127.0.0.1:0"), limits,
-                                      std::move(handler));
-        },
-        [](const Error &error) -> std::unique_ptr<HttpServer> {
-            throw std::runtime_error(error.message);
-        });
-}
-
-} // namespace
-
 SCENARIO("A request is answered through client and server")
 {
     LoopRunner runner;
--- /dev/null
+++ b/tests/transport/testhttpclient.cpp
@@ -0,0 +1,420 @@
+#include "callrecord.h"
+#include "looprunner.h"
+#include "rawserver.h"
+#include "servers.h"
+
+#include "crocusport/transport/httpclient.h"
+
+#include <catch2/catch.hpp>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace crocusport;
+
+namespace {
+
+HttpCallRequest requestTo(const SocketAddress &address)
+{
+    HttpCallRequest request;
+    request.address = address;
+    return request;
+}
+
+HttpCallEnd endOf(LoopRunner &runner, HttpClient &client, const HttpCallRequest &request,
+                  CallRecord &record)
+{
+    const auto call = client.start(request, record.handlers());
+    REQUIRE(runner.runUntil([&] { return record.end.has_value(); }));
+    REQUIRE(call->isEnded());
+    return *record.end;
+}
+
+} // namespace
+
+// Guards against a response that was cut by a crash and is passed on as complete.
+SCENARIO("A cut response is never reported as complete")
+{
+    struct Case
+    {
+        std::string name;
+        std::string answer;
+        RawServer::Ending ending;
+        HttpFailure failure;
+        std::string body;
+    };
+    using Ending = RawServer::Ending;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string length = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+    const std::string untilClose = "HTTP/1.1 200 OK\r\n\r\n";
+    const auto cut = HttpFailure::ClosedMidResponse;
+    const auto data = GENERATE_COPY(values<Case>({
+        { "no response", "", Ending::Close, HttpFailure::ClosedBeforeResponse, "" },
+        { "reset before a response", "", Ending::Reset, HttpFailure::ClosedBeforeResponse, "" },
+        { "cut in the status line", "HTTP/1.1 2", Ending::Close, cut, "" },
+        { "cut in the headers", "HTTP/1.1 200 OK\r\nContent-", Ending::Close, cut, "" },
+        { "chunked, cut after the head", chunked, Ending::Close, cut, "" },
+        { "chunked, cut between chunks", chunked + "5\r\nhello\r\n", Ending::Close, cut, "hello" },
+        { "chunked, cut in a size", chunked + "5\r\nhello\r\n5", Ending::Close, cut, "hello" },
+        { "chunked, cut in the last size", chunked + "5\r\nhello\r\n0", Ending::Close, cut,
+          "hello" },
+        { "chunked, cut in the trailer", chunked + "5\r\nhello\r\n0\r\n", Ending::Close, cut,
+          "hello" },
+        { "chunked, reset", chunked + "5\r\nhello\r\n", Ending::Reset, cut, "" },
+        { "chunked, complete", chunked + "5\r\nhello\r\n0\r\n\r\n", Ending::Close,
+          HttpFailure::None, "hello" },
+        { "length, cut after the head", length, Ending::Close, cut, "" },
+        { "length, cut in the body", length + "hello", Ending::Close, cut, "hello" },
+        { "length, reset", length + "hello", Ending::Reset, cut, "" },
+        { "length, complete", length + "helloworld", Ending::Close, HttpFailure::None,
+          "helloworld" },
+        { "until close, closed", untilClose + "hello", Ending::Close, cut, "hello" },
+        { "until close, reset", untilClose + "hello", Ending::Reset, cut, "" },
+        { "HTTP/1.0 until close", "HTTP/1.0 200 OK\r\n\r\nhello", Ending::Close, cut, "hello" },
+    }));
+    const auto use = GENERATE(ConnectionUse::Pooled, ConnectionUse::Fresh);
+
+    LoopRunner runner;
+    RawServer server(runner.loop(), data.answer, data.ending);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.connection = use;
+    request.progressTimeout = std::chrono::seconds(5);
+
+    INFO(data.name);
+    const auto end = endOf(runner, client, request, record);
+    REQUIRE(httpFailureName(end.failure) == httpFailureName(data.failure));
+    REQUIRE(end.isRequestSent);
+    // After a reset, the bytes that came before it may be lost.
+    if (data.ending != Ending::Reset)
+        REQUIRE(record.body == data.body);
+    runner.runFor(Milliseconds(5));
+    REQUIRE(record.endCount == 1);
+    // Guards against a request that evhttp sends a second time by itself.
+    REQUIRE(server.requestCount() == 1);
+    REQUIRE(server.connectionCount() == 1);
+}
+
+SCENARIO("A wrong response is reported as malformed or too large")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string answer;
+        HttpFailure failure;
+    };
+    // Guards against input that ends the process, is taken for a response or grows without bound.
+    const auto data = GENERATE_COPY(values<Case>({
+        { "garbage\r\n\r\n", HttpFailure::Malformed },
+        { "HTTP/1.1 abc OK\r\n\r\n", HttpFailure::Malformed },
+        { "HTTP/1.1 99 Low\r\nContent-Length: 0\r\n\r\n", HttpFailure::Malformed },
+        { "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nhello", HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello", HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello", HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 5\r\n\r\nhello",
+          HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhello", HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nno colon\r\n\r\n", HttpFailure::Malformed },
+        { chunked + "zz\r\nhello\r\n0\r\n\r\n", HttpFailure::Malformed },
+        { chunked + "-5\r\nhello\r\n0\r\n\r\n", HttpFailure::Malformed },
+        { chunked + "5\r\nhelloworld\r\n0\r\n\r\n", HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nX: " + std::string(70'000, 'a') + "\r\n\r\n",
+          HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'a'),
+          HttpFailure::TooLarge },
+        { chunked + "65\r\n" + std::string(101, 'a') + "\r\n0\r\n\r\n", HttpFailure::TooLarge },
+        { chunked + "FFFFFFF\r\n" + std::string(70'000, 'a'), HttpFailure::TooLarge },
+        { chunked + "7FFFFFFFFFFFFFFF\r\n" + std::string(70'000, 'a'), HttpFailure::TooLarge },
+        { chunked + "FFFFFFFFFFFFFFFFFFFFF\r\n" + std::string(70'000, 'a'), HttpFailure::TooLarge },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nhello",
+          HttpFailure::TooLarge },
+        { "HTTP/1.1 200 OK\r\n\r\n" + std::string(101, 'a'), HttpFailure::TooLarge },
+    }));
+
+    LoopRunner runner;
+    RawServer server(runner.loop(), data.answer, RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.maxResponseBytes = 100;
+    request.progressTimeout = std::chrono::seconds(5);
+
+    INFO(data.answer.substr(0, 100));
+    const auto end = endOf(runner, client, request, record);
+    REQUIRE(httpFailureName(end.failure) == httpFailureName(data.failure));
+    REQUIRE(client.idleConnections() == 0);
+}
+
+SCENARIO("A server that does not accept connections in time")
+{
+    // A full queue of waiting connections drops further attempts.
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), size) == 0);
+    REQUIRE(listen(listener, 0) == 0);
+    REQUIRE(getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size) == 0);
+    LoopRunner runner;
+    HttpClient client(runner.loop(), {});
+    auto request = requestTo(SocketAddress("127.0.0.1:" + std::to_string(ntohs(address.sin_port))));
+    request.connectTimeout = Milliseconds(100);
+    request.progressTimeout = std::chrono::hours(1);
+    std::vector<std::unique_ptr<CallRecord>> records;
+    std::vector<std::unique_ptr<HttpCall>> calls;
+    for (int i = 0; i < 5; ++i) {
+        records.push_back(std::make_unique<CallRecord>());
+        calls.push_back(client.start(request, records.back()->handlers()));
+    }
+
+    // Guards against a request that never left and is reported as perhaps run.
+    REQUIRE(runner.runUntil([&] { return records.back()->end.has_value(); }));
+    REQUIRE(records.back()->end->failure == HttpFailure::ConnectFailed);
+    REQUIRE_FALSE(records.back()->end->isRequestSent);
+    close(listener);
+}
+
+SCENARIO("A silent server")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+    const auto answer = GENERATE_COPY(values<std::string>({ "", "HTTP/1.1 2", head, head + "he" }));
+    LoopRunner runner;
+    RawServer server(runner.loop(), answer, RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.progressTimeout = Milliseconds(50);
+
+    // Guards against a connection that goes silent and holds its request forever.
+    const auto end = endOf(runner, client, request, record);
+    REQUIRE(end.failure == HttpFailure::ProgressTimeout);
+    REQUIRE(end.isRequestSent);
+    REQUIRE(server.requestCount() == 1);
+}
+
+SCENARIO("A slow server that makes progress is not timed out")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
+                     RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.progressTimeout = std::chrono::seconds(2);
+    const auto call = client.start(request, record.handlers());
+    REQUIRE(runner.runUntil([&] { return record.status == 200; }));
+
+    // Guards against a limit on the whole response instead of on its pauses: ten pauses are
+    // longer than the limit together.
+    for (int i = 0; i < 10; ++i) {
+        runner.runFor(Milliseconds(250));
+        REQUIRE_FALSE(record.end);
+        server.sendToAll("x");
+    }
+    REQUIRE(runner.runUntil([&] { return record.end.has_value(); }));
+    REQUIRE(record.end->failure == HttpFailure::None);
+}
+
+SCENARIO("Connections are reused")
+{
+    LoopRunner runner;
+    int handled = 0;
+    const auto server = makeServer(runner.loop(), [&](const auto &exchange) {
+        ++handled;
+        exchange->reply(200, {}, "ok");
+    });
+    HttpClient::Options options;
+    options.maxIdle = Milliseconds(100);
+    options.maxIdlePerAddress = 2;
+    HttpClient client(runner.loop(), options);
+    auto request = requestTo(server->address());
+
+    WHEN("pooled calls follow each other")
+    {
+        for (int i = 0; i < 3; ++i) {
+            CallRecord record;
+            REQUIRE(endOf(runner, client, request, record).failure == HttpFailure::None);
+            REQUIRE(client.idleConnections() == 1);
+        }
+        // Guards against a pooled connection that has gone silent while idle.
+        THEN("the idle connection is closed after its time")
+        {
+            REQUIRE(runner.runUntil([&] { return client.idleConnections() == 0; }));
+        }
+        THEN("closeIdle closes it at once")
+        {
+            client.closeIdle(request.address);
+            REQUIRE(client.idleConnections() == 0);
+        }
+    }
+
+    WHEN("a call is fresh")
+    {
+        CallRecord record;
+        request.connection = ConnectionUse::Fresh;
+        REQUIRE(endOf(runner, client, request, record).failure == HttpFailure::None);
+
+        // Guards against a connection of a call that may run only once being used again.
+        THEN("its connection is not kept")
+        {
+            REQUIRE(client.idleConnections() == 0);
+        }
+    }
+
+    WHEN("many calls run at once")
+    {
+        std::vector<std::unique_ptr<CallRecord>> records;
+        std::vector<std::unique_ptr<HttpCall>> calls;
+        for (int i = 0; i < 20; ++i) {
+            records.push_back(std::make_unique<CallRecord>());
+            calls.push_back(client.start(request, records.back()->handlers()));
+        }
+        REQUIRE(runner.runUntil([&] {
+            return std::all_of(records.begin(), records.end(),
+                               [](const auto &record) { return record->end.has_value(); });
+        }));
+        THEN("the number of idle connections stays bounded")
+        {
+            REQUIRE(handled == 20);
+            REQUIRE(client.idleConnections() == 2);
+        }
+    }
+}
+
+SCENARIO("A pooled connection that becomes unusable while idle")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                     RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    const auto request = requestTo(server.address());
+    CallRecord first;
+    REQUIRE(endOf(runner, client, request, first).failure == HttpFailure::None);
+    REQUIRE(client.idleConnections() == 1);
+
+    THEN("it leaves the pool when the server closes it")
+    {
+        server.closeAll();
+        REQUIRE(runner.runUntil([&] { return client.idleConnections() == 0; }));
+    }
+
+    // Guards against a stray response that is taken for the response to the next request (R3).
+    THEN("it leaves the pool when the server sends without a request")
+    {
+        server.sendToAll("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+        REQUIRE(runner.runUntil([&] { return client.idleConnections() == 0; }));
+    }
+
+    // Guards against a retry behind the caller's back, which could run a request twice.
+    THEN("a call that meets the closed connection fails and is not sent again")
+    {
+        server.closeAll();
+        CallRecord second;
+        const auto end = endOf(runner, client, request, second);
+        REQUIRE(end.failure == HttpFailure::ClosedBeforeResponse);
+        runner.runFor(Milliseconds(20));
+        REQUIRE(server.connectionCount() == 1);
+        REQUIRE(server.requestCount() <= 2);
+    }
+}
+
+SCENARIO("A response with more bytes than its length is not followed by another on its connection")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200",
+                     RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    const auto end = endOf(runner, client, requestTo(server.address()), record);
+
+    // Guards against a response shifted to the next request (R3).
+    REQUIRE(end.failure == HttpFailure::None);
+    REQUIRE(record.body == "ok");
+    REQUIRE(client.idleConnections() == 0);
+}
+
+SCENARIO("Handlers may end their own call")
+{
+    LoopRunner runner;
+    const auto server = makeServer(runner.loop(), [](const auto &exchange) {
+        exchange->startStream(200, {});
+        for (int i = 0; i < 10; ++i)
+            exchange->sendChunk("event");
+        exchange->endStream();
+    });
+    HttpClient client(runner.loop(), {});
+    std::unique_ptr<HttpCall> call;
+    bool isEnded = false;
+    int bodies = 0;
+    HttpCallHandlers handlers;
+    handlers.onEnd = [&](const auto &) { isEnded = true; };
+    const auto request = requestTo(server->address());
+
+    // Guards against use of a connection after a handler has destroyed its call.
+    WHEN("the head's handler destroys the call")
+    {
+        handlers.onHead = [&](int, const auto &) { call.reset(); };
+        call = client.start(request, handlers);
+        REQUIRE(runner.runUntil([&] { return !call; }));
+    }
+    WHEN("a body handler destroys the call")
+    {
+        handlers.onBody = [&](std::string_view) {
+            if (++bodies == 3)
+                call.reset();
+        };
+        call = client.start(request, handlers);
+        REQUIRE(runner.runUntil([&] { return !call; }));
+        REQUIRE(bodies == 3);
+    }
+    runner.runFor(Milliseconds(20));
+    REQUIRE_FALSE(isEnded);
+}
+
+SCENARIO("An end handler starts the next call")
+{
+    LoopRunner runner;
+    const auto server = makeServer(
+        runner.loop(), [](const auto &exchange) { exchange->reply(200, {}, exchange->body()); });
+    HttpClient client(runner.loop(), {});
+    std::unique_ptr<HttpCall> call;
+    int ended = 0;
+    std::function<void()> startNext = [&] {
+        HttpCallHandlers handlers;
+        handlers.onEnd = [&](const HttpCallEnd &end) {
+            REQUIRE(end.failure == HttpFailure::None);
+            if (++ended < 10)
+                startNext();
+        };
+        call = client.start(requestTo(server->address()), std::move(handlers));
+    };
+    startNext();
+
+    // Guards against reuse of a connection while evhttp still works on the last response.
+    REQUIRE(runner.runUntil([&] { return ended == 10; }));
+    REQUIRE(client.idleConnections() == 1);
+}
+
+SCENARIO("A client is destroyed before its calls")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
+    auto client = std::make_unique<HttpClient>(runner.loop(), HttpClient::Options());
+    CallRecord record;
+    const auto call = client->start(requestTo(server.address()), record.handlers());
+    REQUIRE(runner.runUntil([&] { return server.requestCount() == 1; }));
+
+    // Guards against a call that uses its destroyed connection.
+    client.reset();
+    REQUIRE(call->isEnded());
+    REQUIRE_FALSE(record.end);
+}
--- /dev/null
+++ b/tests/transport/testhttpserver.cpp
@@ -0,0 +1,523 @@
+#include "looprunner.h"
+#include "rawclient.h"
+#include "servers.h"
+
+#include "crocusport/transport/httpclient.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include <string>
+#include <vector>
+
+using namespace crocusport;
+
+namespace {
+
+bool isAnswered(const RawClient &client, const std::string &start)
+{
+    return client.received().compare(0, start.size(), start) == 0;
+}
+
+} // namespace
+
+SCENARIO("The server limits what a caller may send")
+{
+    LoopRunner runner;
+    HttpServerLimits limits;
+    limits.maxHeadBytes = 1000;
+    limits.maxBodyBytes = 1000;
+    int handled = 0;
+    const auto server = makeServer(
+        runner.loop(),
+        [&](const auto &exchange) {
+            ++handled;
+            exchange->reply(200, {}, exchange->body());
+        },
+        limits);
+    RawClient client(runner.loop(), server->address());
+    const auto isClosed = [&] { return client.isClosed(); };
+
+    // Guards against memory use that a caller decides.
+    WHEN("the head is too large")
+    {
+        client.send("GET / HTTP/1.1\r\nX: " + std::string(2000, 'a') + "\r\n\r\n");
+        REQUIRE(runner.runUntil(isClosed));
+        REQUIRE((isAnswered(client, "HTTP/1.1 400") || isAnswered(client, "HTTP/1.1 413")));
+    }
+    WHEN("the declared body is too large")
+    {
+        client.send("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'a'));
+        REQUIRE(runner.runUntil(isClosed));
+        REQUIRE(isAnswered(client, "HTTP/1.1 413"));
+    }
+    WHEN("the chunks are too large together")
+    {
+        client.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 3; ++i)
+            client.send("190\r\n" + std::string(400, 'a') + "\r\n");
+        client.send("0\r\n\r\n");
+        REQUIRE(runner.runUntil(isClosed));
+        REQUIRE(isAnswered(client, "HTTP/1.1 413"));
+    }
+
+    // Guards against a request that is taken for two, or two for one (RFC 9112 section 11.2).
+    WHEN("the end of the request is ambiguous")
+    {
+        const auto request = GENERATE(values<std::string>({
+            "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "POST / HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\nhello",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
+            "GET / HTTP/1.1\r\nContent-Length: 35\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n",
+            "DELETE / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        }));
+        client.send(request);
+        REQUIRE(runner.runUntil(isClosed));
+        REQUIRE(isAnswered(client, "HTTP/1.1 400"));
+    }
+    WHEN("the request is malformed")
+    {
+        const auto request = GENERATE(values<std::string>({
+            "garbage\r\n\r\n",
+            "GET\r\n\r\n",
+            "GET / HTTP/9.9.9\r\n\r\n",
+            "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+            "POST / HTTP/1.1\r\nContent-Length: abc\r\n\r\n",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+        }));
+        client.send(request);
+        REQUIRE(runner.runUntil(isClosed));
+        REQUIRE((isAnswered(client, "HTTP/1.1 4") || client.received().empty()));
+    }
+    WHEN("the body is cut short")
+    {
+        client.send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhello");
+        client.closeSending();
+        REQUIRE(runner.runUntil(isClosed));
+    }
+    REQUIRE(handled == 0);
+    REQUIRE(server->openExchanges() == 0);
+}
+
+SCENARIO("Pipelined requests")
+{
+    LoopRunner runner;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &exchange) { exchanges.push_back(exchange); });
+    RawClient client(runner.loop(), server->address());
+    client.send("GET /1 HTTP/1.1\r\n\r\n");
+    REQUIRE(runner.runUntil([&] { return exchanges.size() == 1; }));
+
+    // Guards against evhttp's own read callback, which ends the process when bytes arrive now.
+    WHEN("the second arrives while the first waits")
+    {
+        client.send("GET /2 HTTP/1.1\r\n\r\n");
+        runner.runFor(Milliseconds(20));
+        REQUIRE(exchanges.size() == 1);
+
+        THEN("it is handled after the first has been answered")
+        {
+            exchanges[0]->reply(200, {}, "one");
+            REQUIRE(runner.runUntil([&] { return exchanges.size() == 2; }));
+            REQUIRE(exchanges[1]->path() == "/2");
+            exchanges[1]->reply(200, {}, "two");
+            REQUIRE(runner.runUntil(
+                [&] { return client.received().find("two") != std::string::npos; }));
+        }
+        THEN("it is handled after the first has been streamed")
+        {
+            exchanges[0]->startStream(200, {});
+            exchanges[0]->sendChunk("one");
+            client.send("GET /3 HTTP/1.1\r\n\r\n");
+            runner.runFor(Milliseconds(20));
+            exchanges[0]->endStream();
+            REQUIRE(runner.runUntil([&] { return exchanges.size() == 2; }));
+            exchanges[1]->reply(200, {}, "");
+            REQUIRE(runner.runUntil([&] { return exchanges.size() == 3; }));
+            REQUIRE(exchanges[2]->path() == "/3");
+        }
+    }
+
+    // Guards against memory that fills with requests sent ahead, and against a large one of them
+    // that can never be read completely.
+    WHEN("a body larger than the read-ahead arrives while the first waits")
+    {
+        const std::string body(1'000'000, 'b');
+        client.send("POST /2 HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" + body);
+        runner.runFor(Milliseconds(20));
+        exchanges[0]->reply(200, {}, "one");
+        REQUIRE(runner.runUntil([&] { return exchanges.size() == 2; }));
+        REQUIRE(exchanges[1]->body() == body);
+    }
+}
+
+SCENARIO("Callers that leave")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    int closed = 0;
+    const auto server = makeServer(runner.loop(), [&](const auto &received) {
+        exchange = received;
+        exchange->onClosed([&] { ++closed; });
+    });
+    auto client = std::make_unique<RawClient>(runner.loop(), server->address());
+    client->send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+
+    // Guards against work for a caller that has gone.
+    WHEN("the caller closes while its request waits")
+    {
+        client.reset();
+        REQUIRE(runner.runUntil([&] { return closed == 1; }));
+        REQUIRE(server->openExchanges() == 0);
+    }
+    WHEN("the exchange is destroyed in its own close handler")
+    {
+        exchange->onClosed([&] {
+            ++closed;
+            exchange.reset();
+        });
+        client.reset();
+        REQUIRE(runner.runUntil([&] { return closed == 1; }));
+        REQUIRE_FALSE(exchange);
+    }
+    WHEN("the answer was complete before")
+    {
+        exchange->reply(200, {}, "hello");
+        REQUIRE(runner.runUntil([&] { return server->openExchanges() == 0; }));
+        client.reset();
+        runner.runFor(Milliseconds(20));
+        REQUIRE(closed == 0);
+        REQUIRE_FALSE(exchange->isClosed());
+    }
+    WHEN("the handler forgets the exchange")
+    {
+        exchange.reset();
+        REQUIRE(runner.runUntil([&] { return !client->received().empty(); }));
+        REQUIRE(isAnswered(*client, "HTTP/1.1 500"));
+    }
+    // Guards against an exchange that uses its destroyed connection.
+    WHEN("the server is destroyed before the exchange")
+    {
+        std::shared_ptr<HttpExchange> waiting;
+        std::shared_ptr<HttpExchange> streaming;
+        auto other = makeServer(runner.loop(), [&](const auto &received) {
+            (received->path() == "/waiting" ? waiting : streaming) = received;
+        });
+        RawClient first(runner.loop(), other->address());
+        RawClient second(runner.loop(), other->address());
+        first.send("GET /waiting HTTP/1.1\r\n\r\n");
+        second.send("GET /streaming HTTP/1.1\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return waiting && streaming; }));
+        streaming->startStream(200, {});
+        other.reset();
+        REQUIRE(waiting->isClosed());
+        REQUIRE(streaming->isClosed());
+        waiting->reply(200, {}, "late");
+        streaming->endStream();
+    }
+}
+
+SCENARIO("A caller that does not read its stream")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    HttpServerLimits limits;
+    limits.idleTimeout = Milliseconds(200);
+    bool isClosed = false;
+    const auto server = makeServer(
+        runner.loop(),
+        [&](const auto &received) {
+            exchange = received;
+            exchange->onClosed([&] { isClosed = true; });
+        },
+        limits);
+    RawClient client(runner.loop(), server->address());
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+    client.setReading(false);
+    exchange->startStream(200, {});
+    const std::string chunk(100'000, 'c');
+
+    // Guards against a stalled reader that lets memory grow unseen.
+    THEN("bufferedBytes shows what waits, and the connection is closed when nothing moves")
+    {
+        for (int i = 0; i < 200; ++i)
+            exchange->sendChunk(chunk);
+        REQUIRE(exchange->bufferedBytes() >= 200 * chunk.size());
+        runner.runFor(Milliseconds(20));
+        REQUIRE(exchange->bufferedBytes() > 0);
+        REQUIRE(runner.runUntil([&] { return isClosed; }));
+        REQUIRE(exchange->bufferedBytes() == 0);
+    }
+}
+
+SCENARIO("Idle time")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    HttpServerLimits limits;
+    limits.idleTimeout = Milliseconds(100);
+    const auto server = makeServer(
+        runner.loop(), [&](const auto &received) { exchange = received; }, limits);
+    RawClient client(runner.loop(), server->address());
+
+    // Guards against connections that are opened and left.
+    WHEN("a connection sends nothing")
+    {
+        REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+    }
+    WHEN("a connection sends half a request")
+    {
+        client.send("GET / HT");
+        REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+    }
+    // Guards against a long request that is cut because its answer takes longer than that.
+    WHEN("a request waits for its answer")
+    {
+        client.send("GET / HTTP/1.1\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        runner.runFor(Milliseconds(500));
+        REQUIRE_FALSE(exchange->isClosed());
+        exchange->reply(200, {}, "slow");
+        REQUIRE(runner.runUntil([&] { return !client.received().empty(); }));
+        THEN("the time applies again afterwards")
+        {
+            REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+        }
+    }
+}
+
+SCENARIO("The number of connections is limited")
+{
+    LoopRunner runner;
+    HttpServerLimits limits;
+    limits.maxConnections = 3;
+    int handled = 0;
+    const auto server = makeServer(
+        runner.loop(),
+        [&](const auto &exchange) {
+            ++handled;
+            exchange->reply(200, {}, "");
+        },
+        limits);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 10; ++i) {
+        clients.push_back(std::make_unique<RawClient>(runner.loop(), server->address()));
+        clients.back()->send("GET / HTTP/1.1\r\n\r\n");
+    }
+    REQUIRE(runner.runUntil([&] { return handled == 3; }));
+
+    // Guards against a flood of connections that takes all descriptors.
+    THEN("the rest waits until others have left")
+    {
+        runner.runFor(Milliseconds(50));
+        REQUIRE(handled == 3);
+        for (int i = 0; i < 10; ++i) {
+            const auto answered = std::find_if(clients.begin(), clients.end(), [](const auto &c) {
+                return !c->received().empty();
+            });
+            REQUIRE(answered != clients.end());
+            clients.erase(answered);
+            REQUIRE(runner.runUntil([&] { return handled == std::min(4 + i, 10); }));
+            const auto expected = std::min<std::size_t>(3, clients.size());
+            REQUIRE(runner.runUntil([&] {
+                return static_cast<std::size_t>(
+                           std::count_if(clients.begin(), clients.end(),
+                                         [](const auto &c) { return !c->received().empty(); }))
+                    == expected;
+            }));
+        }
+    }
+}
+
+SCENARIO("A server that stops accepting")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &received) { exchange = received; });
+    RawClient client(runner.loop(), server->address());
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+    server->stopAccepting();
+
+    // Guards against a shutdown that cuts requests in progress (R7).
+    THEN("the request in progress is answered and its connection closed")
+    {
+        exchange->startStream(200, {});
+        exchange->sendChunk("last");
+        exchange->endStream();
+        REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+        REQUIRE(client.received().find("Connection: close") != std::string::npos);
+        REQUIRE(client.received().find("last\r\n0\r\n\r\n") != std::string::npos);
+        REQUIRE_FALSE(client.isReset());
+        REQUIRE(server->openExchanges() == 0);
+    }
+    THEN("new connections are refused")
+    {
+        RawClient late(runner.loop(), server->address());
+        REQUIRE(runner.runUntil([&] { return late.isClosed(); }));
+    }
+}
+
+SCENARIO("Answers to old and special requests")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &received) { exchange = received; });
+    RawClient client(runner.loop(), server->address());
+
+    WHEN("a caller speaks HTTP/1.0")
+    {
+        client.send("GET /old HTTP/1.0\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        exchange->startStream(200, {});
+        exchange->sendChunk("one");
+        exchange->sendChunk("two");
+        runner.runFor(Milliseconds(5));
+
+        // Guards against chunk framing that the caller would take for data.
+        THEN("a stream has no chunk framing and ends with the connection")
+        {
+            exchange->endStream();
+            REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+            const auto head = client.received().find("\r\n\r\n");
+            REQUIRE(client.received().substr(head + 4) == "onetwo");
+            REQUIRE_FALSE(client.isReset());
+        }
+        // Guards against a cut stream that looks complete, since only the close ends it.
+        THEN("an aborted stream ends with a reset")
+        {
+            exchange->abort();
+            REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+            REQUIRE(client.isReset());
+        }
+    }
+    WHEN("the method is HEAD")
+    {
+        client.send("HEAD / HTTP/1.1\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        // Guards against a body that the caller would take for the next response.
+        THEN("a reply has no body")
+        {
+            exchange->reply(200, {}, "body");
+        }
+        THEN("a stream has no body")
+        {
+            exchange->startStream(200, {});
+            exchange->sendChunk("body");
+            exchange->endStream();
+        }
+        REQUIRE(runner.runUntil([&] { return server->openExchanges() == 0; }));
+        REQUIRE(client.received().find("body") == std::string::npos);
+    }
+    WHEN("the target is in absolute form (RFC 9112 section 3.2.2)")
+    {
+        client.send("GET http://host:1/path?a=1 HTTP/1.1\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        REQUIRE(exchange->path() == "/path");
+        REQUIRE(exchange->queryParameter("a") == "1");
+    }
+    WHEN("a body comes without a length")
+    {
+        client.send("POST /empty HTTP/1.1\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        REQUIRE(exchange->body().empty());
+    }
+    WHEN("the body comes slowly")
+    {
+        client.send("POST /slow HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+        for (const char character : std::string("hello")) {
+            runner.runFor(Milliseconds(5));
+            REQUIRE_FALSE(exchange);
+            client.send(std::string(1, character));
+        }
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        REQUIRE(exchange->body() == "hello");
+    }
+}
+
+SCENARIO("A server address that cannot be used")
+{
+    LoopRunner runner;
+    const auto text = GENERATE(values<std::string>(
+        { "", "nowhere", "127.0.0.1", "127.0.0.1:x", "127.0.0.1:70000", "host:80" }));
+    const auto code = boost::leaf::try_handle_all(
+        [&]() -> Result<ResultCode> {
+            BOOST_LEAF_CHECK(
+                HttpServer::create(runner.loop(), SocketAddress(text), {}, [](const auto &) {}));
+            return ResultCode::Ok;
+        },
+        [](const Error &error) { return error.code; }, [] { return ResultCode::InternalError; });
+    REQUIRE(code == ResultCode::ListenFailed);
+}
+
+// Guards against input that ends the process or leaves an exchange open.
+TEST_CASE("Random bytes never disturb the server or other callers")
+{
+    LoopRunner runner;
+    const auto server = makeServer(
+        runner.loop(), [](const auto &exchange) { exchange->reply(200, {}, exchange->body()); });
+    const std::vector<std::string> pieces = { "GET / HTTP/1.1\r\n",
+                                              "POST /p HTTP/1.1\r\n",
+                                              "Content-Length: 3\r\n",
+                                              "Transfer-Encoding: chunked\r\n",
+                                              "\r\n",
+                                              "3\r\nabc\r\n",
+                                              "0\r\n\r\n",
+                                              "abc",
+                                              "Connection: close\r\n",
+                                              "HEAD * HTTP/1.0\r\n",
+                                              "Expect: 100-continue\r\n" };
+    rc::check("server survives", [&] {
+        const auto piece =
+            rc::gen::oneOf(rc::gen::elementOf(pieces), rc::gen::arbitrary<std::string>());
+        const auto input = *rc::gen::container<std::vector<std::string>>(piece);
+        RawClient client(runner.loop(), server->address());
+        for (const auto &bytes : input)
+            client.send(bytes);
+        client.send("\r\n\r\n");
+        runner.runFor(Milliseconds(3));
+        RawClient other(runner.loop(), server->address());
+        other.send("GET /after HTTP/1.1\r\n\r\n");
+        RC_ASSERT(runner.runUntil([&] { return isAnswered(other, "HTTP/1.1 200"); }));
+    });
+    REQUIRE(runner.runUntil([&] { return server->openExchanges() == 0; }));
+}
+
+TEST_CASE("A stream carries exactly the bytes that were sent")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &received) { exchange = received; });
+    HttpClient client(runner.loop(), {});
+    rc::check("chunks arrive unchanged", [&] {
+        const auto chunks = *rc::gen::arbitrary<std::vector<std::string>>();
+        exchange.reset();
+        std::string sent;
+        std::string received;
+        bool isComplete = false;
+        HttpCallRequest request;
+        request.address = server->address();
+        HttpCallHandlers handlers;
+        handlers.onBody = [&](std::string_view data) { received += data; };
+        handlers.onEnd = [&](const auto &end) { isComplete = end.failure == HttpFailure::None; };
+        const auto call = client.start(request, handlers);
+        RC_ASSERT(runner.runUntil([&] { return exchange != nullptr; }));
+        exchange->startStream(200, {});
+        for (const auto &chunk : chunks) {
+            exchange->sendChunk(chunk);
+            sent += chunk;
+        }
+        exchange->endStream();
+        RC_ASSERT(runner.runUntil([&] { return call->isEnded(); }));
+        RC_ASSERT(isComplete);
+        RC_ASSERT(received == sent);
+    });
+}
