--- a/src/coordination/backendservers.cpp
+++ b/src/coordination/backendservers.cpp
@@ -62,17 +62,17 @@
                            [](std::size_t sum, const auto &server) { return sum + server.slots; });
 }
 
-PoolScheduler BackendServers::makeScheduler(const PoolName &pool, std::uint64_t seed,
-                                            Instant now) const
+AnyScheduler BackendServers::makeScheduler(const PoolName &pool, QueuePolicy queuePolicy,
+                                           std::uint64_t seed, Instant now) const
 {
-    PoolScheduler scheduler(policyOf(pool), seed);
+    AnyScheduler scheduler(queuePolicy, policyOf(pool), seed);
     scheduler.setBackendServers(serversOf(pool), now);
     for (const auto &[observedAt, observation] : evidence_)
         apply(scheduler, observation, observedAt, now);
     return scheduler;
 }
 
-void BackendServers::apply(PoolScheduler &scheduler, const Observation &observation,
+void BackendServers::apply(AnyScheduler &scheduler, const Observation &observation,
                            Instant observedAt, Instant now)
 {
     switch (observation.kind) {
--- a/src/coordination/backendservers.h
+++ b/src/coordination/backendservers.h
@@ -1,9 +1,9 @@
 #ifndef CROCUSPORT_BACKENDSERVERS_H
 #define CROCUSPORT_BACKENDSERVERS_H
 
+#include "anyscheduler.h"
 #include "crocusport/coordination/observation.h"
 #include "crocusport/state/configuration.h"
-#include "crocusport/state/poolscheduler.h"
 
 #include <deque>
 #include <map>
@@ -28,10 +28,11 @@
     PoolPolicy policyOf(const PoolName &pool) const;
     const std::vector<BackendServer> &serversOf(const PoolName &pool) const;
     std::size_t slotsOf(const PoolName &pool) const;
-    PoolScheduler makeScheduler(const PoolName &pool, std::uint64_t seed, Instant now) const;
+    AnyScheduler makeScheduler(const PoolName &pool, QueuePolicy queuePolicy, std::uint64_t seed,
+                               Instant now) const;
 
     //! Applies \a observation, made at \a observedAt, to \a scheduler.
-    static void apply(PoolScheduler &scheduler, const Observation &observation, Instant observedAt,
+    static void apply(AnyScheduler &scheduler, const Observation &observation, Instant observedAt,
                       Instant now);
 
 private:
--- a/src/coordination/fallbackpool.cpp
+++ b/src/coordination/fallbackpool.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-FallbackPool::FallbackPool(PoolScheduler scheduler, std::size_t limit)
+FallbackPool::FallbackPool(AnyScheduler scheduler, std::size_t limit)
     : scheduler_(std::move(scheduler)), limit_(limit)
 { }
 
--- a/src/coordination/fallbackpool.h
+++ b/src/coordination/fallbackpool.h
@@ -1,7 +1,7 @@
 #ifndef CROCUSPORT_FALLBACKPOOL_H
 #define CROCUSPORT_FALLBACKPOOL_H
 
-#include "crocusport/state/poolscheduler.h"
+#include "anyscheduler.h"
 
 #include <map>
 #include <optional>
@@ -19,9 +19,9 @@
 class FallbackPool
 {
 public:
-    FallbackPool(PoolScheduler scheduler, std::size_t limit);
+    FallbackPool(AnyScheduler scheduler, std::size_t limit);
 
-    PoolScheduler &scheduler() { return scheduler_; }
+    AnyScheduler &scheduler() { return scheduler_; }
     void setLimit(std::size_t limit) { limit_ = limit; }
     //! True if no request waits here and none has for a while.
     bool isIdle(Instant now) const;
@@ -39,7 +39,7 @@
 private:
     using Rank = std::tuple<Tier, Instant, RequestId>;
 
-    PoolScheduler scheduler_;
+    AnyScheduler scheduler_;
     std::size_t limit_;
     std::map<Rank, SlotRequest> waiting_; //!< Not yet given to the scheduler.
     std::map<RequestId, Rank> ranks_;
--- a/src/coordination/heldpool.cpp
+++ b/src/coordination/heldpool.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-HeldPool::HeldPool(const RouterName &self, PoolScheduler scheduler, Instant graceUntil)
+HeldPool::HeldPool(const RouterName &self, AnyScheduler scheduler, Instant graceUntil)
     : self_(self), scheduler_(std::move(scheduler)), graceUntil_(graceUntil)
 { }
 
--- a/src/coordination/heldpool.h
+++ b/src/coordination/heldpool.h
@@ -1,8 +1,8 @@
 #ifndef CROCUSPORT_HELDPOOL_H
 #define CROCUSPORT_HELDPOOL_H
 
+#include "anyscheduler.h"
 #include "crocusport/coordination/peermessage.h"
-#include "crocusport/state/poolscheduler.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,10 +34,10 @@
 public:
     //! Requests of lower tiers are not scheduled before \a graceUntil, because running requests
     //! that the previous holder knew may not have been repeated yet.
-    HeldPool(const RouterName &self, PoolScheduler scheduler, Instant graceUntil);
+    HeldPool(const RouterName &self, AnyScheduler scheduler, Instant graceUntil);
 
-    PoolScheduler &scheduler() { return scheduler_; }
-    const PoolScheduler &scheduler() const { return scheduler_; }
+    AnyScheduler &scheduler() { return scheduler_; }
+    const AnyScheduler &scheduler() const { return scheduler_; }
     void markChanged() { isChanged_ = true; }
     void setGrace(Instant until) { graceUntil_ = until; }
     bool isEmpty() const { return entries_.empty(); }
@@ -68,7 +68,7 @@
     void dropSilent(Instant now);
 
     RouterName self_;
-    PoolScheduler scheduler_;
+    AnyScheduler scheduler_;
     Instant graceUntil_;
     std::vector<SlotRequest> heldBack_; //!< Requests of lower tiers that wait for graceUntil_.
     std::unordered_map<RequestId, Entry> entries_;
--- a/src/coordination/slotbrokerprivate.cpp
+++ b/src/coordination/slotbrokerprivate.cpp
@@ -47,7 +47,8 @@
     holderOf(pool);
     const auto graceUntil =
         policy == QueuePolicy::Holder && membersChangedAt ? *membersChangedAt + kGraceTime : now;
-    return held.emplace(pool, HeldPool(self, servers.makeScheduler(pool, seed, now), graceUntil))
+    return held
+        .emplace(pool, HeldPool(self, servers.makeScheduler(pool, policy, seed, now), graceUntil))
         .first->second;
 }
 
@@ -56,7 +57,7 @@
     const auto found = fallbacks.find(pool);
     if (found != fallbacks.end())
         return found->second;
-    FallbackPool created(servers.makeScheduler(pool, seed + 1, now), fallbackLimit(pool));
+    FallbackPool created(servers.makeScheduler(pool, policy, seed + 1, now), fallbackLimit(pool));
     for (const auto &id : requests.ids()) {
         const OwnRequest *const own = requests.find(id);
         if (own->request.pool == pool && !own->isWaiting())
