Daemon: Serve requests from admission to the final answer

Cause: the layers existed without a process that uses them. The router admits a request, claims its key where its class forbids repeats, waits for a slot, calls the backend server, resumes or retries where that is allowed, and tells the outcome. Excluded: relaying engines' whole answers, since they show no progress. Before: no request could be served.

--- a/include/crocusport/state/resultcode.h
+++ b/include/crocusport/state/resultcode.h
@@ -46,6 +46,7 @@
     RetriesExhausted = 307,
     ProgressTimeout = 308,
     BackendServerError = 309,
+    AnswerTimeout = 310,
     SuspectedCrashCause = 311,
 
     // 400-499: configuration and settings.
--- a/include/crocusport/transport/httpexchange.h
+++ b/include/crocusport/transport/httpexchange.h
@@ -37,6 +37,8 @@
     std::string_view method() const;
     //! Path without query, not decoded.
     std::string_view path() const;
+    //! Path and query, not decoded, to be sent on.
+    std::string target() const;
     //! Value of a query parameter, decoded.
     std::optional<std::string> queryParameter(const std::string &name) const;
     //! Value of a request header; names compare without case.
--- /dev/null
+++ b/src/daemon/peercontrol.cpp
@@ -0,0 +1,128 @@
+#include "peercontrol.h"
+
+#include "logline.h"
+
+#include "crocusport/protocol/digest.h"
+#include "crocusport/transport/eventloop.h"
+
+#include <glog/logging.h>
+
+#include <cstring>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+// Short against the acknowledgement timeout of 250 ms, so that timeouts are noticed in time.
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+constexpr Duration kSeedRetryInterval = std::chrono::seconds(1);
+
+std::uint64_t randomSeed()
+{
+    std::uint64_t seed = 0;
+    const auto bytes = randomBytes(sizeof seed);
+    std::memcpy(&seed, bytes.data(), sizeof seed);
+    return seed;
+}
+
+} // namespace
+
+Result<std::unique_ptr<PeerControl>> PeerControl::create(EventLoop &loop,
+                                                         PeerNetwork::Options options,
+                                                         std::vector<SocketAddress> seeds,
+                                                         Handlers handlers)
+{
+    std::unique_ptr<PeerControl> control(
+        new PeerControl(loop, std::move(seeds), std::move(handlers)));
+    PeerNetwork::Handlers networkHandlers;
+    networkHandlers.onMessage = [self = control.get()](const RouterName &from,
+                                                       PeerMessage message) {
+        self->onMessage(from, std::move(message));
+    };
+    networkHandlers.onLinkUp = [self = control.get()](const MemberInfo &peer) {
+        LOG(INFO) << LogLine("peer_link_up").add("peer", peer.name.value()).text();
+        self->hasReachedSeed_ = true;
+        self->membership_->addPeer(peer, monotonicNow());
+        self->flush();
+    };
+    networkHandlers.onLinkDown = [](const RouterName &peer) {
+        LOG(INFO) << LogLine("peer_link_down").add("peer", peer.value()).text();
+    };
+    BOOST_LEAF_ASSIGN(control->network_,
+                      PeerNetwork::create(loop, std::move(options), std::move(networkHandlers)));
+    control->membership_ =
+        std::make_unique<Membership>(control->network_->self(), MembershipPolicy {}, randomSeed());
+    control->connectToSeeds();
+    control->tickTimer_.startPeriodic(kTickInterval);
+    return control;
+}
+
+PeerControl::PeerControl(EventLoop &loop, std::vector<SocketAddress> seeds, Handlers handlers)
+    : seeds_(std::move(seeds)), handlers_(std::move(handlers)), tickTimer_(loop, [this] { tick(); })
+{ }
+
+void PeerControl::send(const OutgoingMessage &message)
+{
+    if (const auto address = membership_->addressOf(message.to))
+        network_->send(message.to, *address, message.message);
+}
+
+void PeerControl::observe(const Observation &observation)
+{
+    membership_->addObservation(observation, monotonicNow());
+}
+
+void PeerControl::setConfigurationVersion(ConfigurationVersion version)
+{
+    membership_->setConfigurationVersion(version);
+}
+
+void PeerControl::leave()
+{
+    membership_->leave(monotonicNow());
+    flush();
+}
+
+void PeerControl::onMessage(const RouterName &from, PeerMessage message)
+{
+    membership_->handleMessage(from, message, monotonicNow());
+    handlers_.onMessage(from, message);
+    flush();
+}
+
+void PeerControl::tick()
+{
+    const auto now = monotonicNow();
+    membership_->tick(now);
+    if (now >= nextSeedAttempt_ && membership_->liveMembers().size() <= 1)
+        connectToSeeds();
+    for (const auto &address : membership_->takeAddressesToTry(now))
+        network_->connectTo(address);
+    for (const auto &peer : membership_->takeStaleLinks())
+        network_->closeLink(peer);
+    flush();
+}
+
+void PeerControl::flush()
+{
+    for (const auto &message : membership_->takeMessages())
+        send(message);
+    for (const auto &observation : membership_->takeObservations())
+        handlers_.onObservation(observation);
+    if (membership_->takeMembersChanged())
+        handlers_.onMembersChanged(membership_->liveMembers());
+    if (const auto peer = membership_->peerWithNewerConfiguration())
+        handlers_.onNewerConfiguration(*peer);
+}
+
+void PeerControl::connectToSeeds()
+{
+    nextSeedAttempt_ = monotonicNow() + kSeedRetryInterval;
+    for (const auto &seed : seeds_) {
+        if (seed != network_->self().address)
+            network_->connectTo(seed);
+    }
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/daemon/peercontrol.h
@@ -0,0 +1,68 @@
+#ifndef CROCUSPORT_PEERCONTROL_H
+#define CROCUSPORT_PEERCONTROL_H
+
+#include "crocusport/coordination/membership.h"
+#include "crocusport/transport/peernetwork.h"
+#include "crocusport/transport/timer.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace crocusport {
+
+class EventLoop;
+
+/*!
+    Runs the membership protocol over the peer links and hands all other messages on.
+
+    Thread safety: loop thread only.
+*/
+class PeerControl
+{
+public:
+    struct Handlers
+    {
+        std::function<void(const RouterName &from, const PeerMessage &message)> onMessage;
+        std::function<void(const std::vector<RouterName> &live)> onMembersChanged;
+        std::function<void(const Observation &observation)> onObservation;
+        //! A peer has a newer configuration than this router.
+        std::function<void(const RouterName &peer)> onNewerConfiguration;
+    };
+
+    static Result<std::unique_ptr<PeerControl>> create(EventLoop &loop,
+                                                       PeerNetwork::Options options,
+                                                       std::vector<SocketAddress> seeds,
+                                                       Handlers handlers);
+
+    //! Sends \a message unless its receiver is unknown; it may be lost like any other.
+    void send(const OutgoingMessage &message);
+    void observe(const Observation &observation);
+    void setConfigurationVersion(ConfigurationVersion version);
+    //! Tells the peers that this router is leaving.
+    void leave();
+
+    const Membership &membership() const { return *membership_; }
+    const PeerNetwork &network() const { return *network_; }
+    bool hasReachedSeed() const { return hasReachedSeed_; }
+
+private:
+    PeerControl(EventLoop &loop, std::vector<SocketAddress> seeds, Handlers handlers);
+
+    void onMessage(const RouterName &from, PeerMessage message);
+    void tick();
+    void flush();
+    void connectToSeeds();
+
+    std::vector<SocketAddress> seeds_;
+    Handlers handlers_;
+    std::unique_ptr<PeerNetwork> network_;
+    std::unique_ptr<Membership> membership_;
+    Timer tickTimer_;
+    Instant nextSeedAttempt_;
+    bool hasReachedSeed_ = false;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_PEERCONTROL_H
--- a/src/daemon/requestidgenerator.cpp
+++ b/src/daemon/requestidgenerator.cpp
@@ -20,4 +20,16 @@
     return RequestId(prefix_ + std::to_string(++counter_));
 }
 
+std::optional<RouterName> RequestIdGenerator::routerOf(const RequestId &request)
+{
+    const auto &text = request.value();
+    const auto counter = text.rfind('-');
+    if (counter == std::string::npos || counter == 0)
+        return std::nullopt;
+    const auto start = text.rfind('-', counter - 1);
+    if (start == std::string::npos || start == 0)
+        return std::nullopt;
+    return RouterName(text.substr(0, start));
+}
+
 } // namespace crocusport
--- a/src/daemon/requestidgenerator.h
+++ b/src/daemon/requestidgenerator.h
@@ -4,6 +4,7 @@
 #include "crocusport/state/identifiers.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace crocusport {
@@ -21,6 +22,8 @@
 
     //! Returns "<router>-<random start>-<counter>".
     RequestId next();
+    //! The router that made \a request; nothing when it has another form. Safe from any thread.
+    static std::optional<RouterName> routerOf(const RequestId &request);
 
 private:
     std::string prefix_;
--- /dev/null
+++ b/src/daemon/responsehead.cpp
@@ -0,0 +1,57 @@
+#include "responsehead.h"
+
+#include <strings.h>
+
+namespace crocusport {
+
+namespace {
+
+bool isHeader(const std::string &name, const char *expected)
+{
+    return strcasecmp(name.c_str(), expected) == 0;
+}
+
+} // namespace
+
+ResponseHead readResponseHead(const HttpHeaders &headers)
+{
+    ResponseHead head;
+    for (const auto &[name, value] : headers) {
+        if (isHeader(name, "X-Not-Run"))
+            head.isNotRun = value == "1";
+        else if (isHeader(name, "X-Leaving"))
+            head.isLeaving = value == "1";
+        else if (isHeader(name, "Content-Type"))
+            head.contentType = value;
+    }
+    return head;
+}
+
+BackendCallEnd endForStatus(int status, const ResponseHead &head)
+{
+    if (status == 503 && head.isNotRun)
+        return BackendCallEnd::NotRun;
+    if (status == 429 || status == 503)
+        return BackendCallEnd::Overloaded;
+    if (status >= 500)
+        return BackendCallEnd::ServerError;
+    if (status >= 400)
+        return BackendCallEnd::Rejected;
+    return BackendCallEnd::Completed;
+}
+
+BackendCallEnd endForFailure(const HttpCallEnd &end)
+{
+    switch (end.failure) {
+    case HttpFailure::ConnectFailed:
+        return end.isRequestSent ? BackendCallEnd::Lost : BackendCallEnd::NotRun;
+    case HttpFailure::Malformed:
+        return BackendCallEnd::Malformed;
+    case HttpFailure::TooLarge:
+        return BackendCallEnd::TooLarge;
+    default:
+        return BackendCallEnd::Lost;
+    }
+}
+
+} // namespace crocusport
--- a/src/state/resultcode.cpp
+++ b/src/state/resultcode.cpp
@@ -42,6 +42,7 @@
     std::pair { ResultCode::RetriesExhausted, std::string_view { "RetriesExhausted" } },
     std::pair { ResultCode::ProgressTimeout, std::string_view { "ProgressTimeout" } },
     std::pair { ResultCode::BackendServerError, std::string_view { "BackendServerError" } },
+    std::pair { ResultCode::AnswerTimeout, std::string_view { "AnswerTimeout" } },
     std::pair { ResultCode::SuspectedCrashCause, std::string_view { "SuspectedCrashCause" } },
     std::pair { ResultCode::BadSettings, std::string_view { "BadSettings" } },
     std::pair { ResultCode::BadClassFile, std::string_view { "BadClassFile" } },
--- a/src/transport/httpexchange.cpp
+++ b/src/transport/httpexchange.cpp
@@ -59,6 +59,11 @@
     return d_->path;
 }
 
+std::string HttpExchange::target() const
+{
+    return d_->query.empty() ? d_->path : d_->path + '?' + d_->query;
+}
+
 std::optional<std::string> HttpExchange::queryParameter(const std::string &name) const
 {
     std::string_view rest = d_->query;
