--- a/include/crocusport/protocol/configurationdocument.h
+++ b/include/crocusport/protocol/configurationdocument.h
@@ -1,10 +1,12 @@
 #ifndef CROCUSPORT_CONFIGURATIONDOCUMENT_H
 #define CROCUSPORT_CONFIGURATIONDOCUMENT_H
 
+#include "crocusport/coordination/publisher.h"
 #include "crocusport/state/configuration.h"
 #include "crocusport/state/error.h"
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +28,12 @@
 */
 std::string writeConfigurationDocument(const Configuration &configuration);
 
+/*!
+    Reads only what identifies a document, so that one which this version would not adopt can still
+    be replaced. Returns nothing if that is malformed. Safe from any thread.
+*/
+std::optional<PublishedDocument> readPublishedDocument(const std::string &text);
+
 } // namespace crocusport
 
 #endif // CROCUSPORT_CONFIGURATIONDOCUMENT_H
--- a/src/protocol/claimdocument.cpp
+++ b/src/protocol/claimdocument.cpp
@@ -1,8 +1,7 @@
 #include "crocusport/protocol/claimdocument.h"
 
 #include "cborstructure.h"
-#include "jsonfields.h"
-#include "jsontext.h"
+#include "jsondocument.h"
 
 namespace crocusport {
 
@@ -13,13 +12,6 @@
 
 } // namespace
 
-template<>
-struct EnumNames<ClaimState>
-{
-    static constexpr std::array<std::string_view, 4> kNames = { "claimed", "completed", "not_run",
-                                                                "unknown" };
-};
-
 void describe(auto &fields, Is<StoredResponse> auto &response)
 {
     fields.required("status", response.status);
@@ -62,20 +54,14 @@
 
 std::string writeClaim(const ClaimRecord &claim)
 {
-    return writeJson(FieldWriter::toJson(claim));
+    return writeJsonDocument(claim);
 }
 
 Result<ClaimRecord> parseClaim(std::string_view text)
 {
     if (text.size() > kMaxClaimBytes)
         return makeError(ResultCode::MalformedMessage, "claim is too large");
-    BOOST_LEAF_AUTO(json, parseJsonObject(text, "claim", ResultCode::MalformedMessage));
-    ClaimRecord claim;
-    FieldReader reader(json);
-    describe(reader, claim);
-    if (!reader.error().empty())
-        return makeError(ResultCode::MalformedMessage, "claim: " + reader.error());
-    return claim;
+    return parseJsonDocument<ClaimRecord>(text, "claim");
 }
 
 ClaimCodec claimDocumentCodec()
--- a/src/protocol/classfiles.cpp
+++ b/src/protocol/classfiles.cpp
@@ -1,10 +1,10 @@
 #include "crocusport/protocol/classfiles.h"
 
 #include "configurationcheck.h"
+#include "enumnames.h"
 #include "keytable.h"
 
 #include <algorithm>
-#include <array>
 #include <filesystem>
 #include <map>
 #include <utility>
@@ -21,8 +21,8 @@
 constexpr double kMaxDigestBytes = 64;
 constexpr double kMaxRequestsPerSecond = 1'000'000;
 
-constexpr std::array<std::string_view, 2> kPoolKinds = { "engine", "service" };
-constexpr std::array<std::string_view, 2> kRepeatRules = { "repeatable", "never" };
+constexpr auto &kPoolKinds = EnumNames<PoolKind>::kNames;
+constexpr auto &kRepeatRules = EnumNames<RepeatRule>::kNames;
 
 const std::vector<KeyEntry<RequestClass>> &classEntries()
 {
--- a/src/protocol/configurationdocument.cpp
+++ b/src/protocol/configurationdocument.cpp
@@ -1,25 +1,12 @@
 #include "crocusport/protocol/configurationdocument.h"
 
 #include "configurationcheck.h"
-#include "jsonfields.h"
-#include "jsontext.h"
+#include "jsondocument.h"
 
 #include <utility>
 
 namespace crocusport {
 
-template<>
-struct EnumNames<PoolKind>
-{
-    static constexpr std::array<std::string_view, 2> kNames = { "engine", "service" };
-};
-
-template<>
-struct EnumNames<RepeatRule>
-{
-    static constexpr std::array<std::string_view, 2> kNames = { "repeatable", "never" };
-};
-
 void describe(auto &fields, Is<RequestClass> auto &requestClass)
 {
     fields.required("name", requestClass.name);
@@ -104,12 +91,7 @@
         return makeError(ResultCode::ConfigurationTooLarge,
                          "configuration has " + std::to_string(text.size()) + " bytes; allowed are "
                              + std::to_string(kMaxConfigurationBytes));
-    BOOST_LEAF_AUTO(json, parseJsonObject(text, "configuration", ResultCode::MalformedMessage));
-    Document document;
-    FieldReader reader(json);
-    describe(reader, document);
-    if (!reader.error().empty())
-        return makeError(ResultCode::MalformedMessage, "configuration: " + reader.error());
+    BOOST_LEAF_AUTO(document, parseJsonDocument<Document>(text, "configuration"));
 
     Configuration configuration;
     configuration.version = document.version;
@@ -125,14 +107,27 @@
     return configuration;
 }
 
+std::optional<PublishedDocument> readPublishedDocument(const std::string &text)
+{
+    return handleErrors(
+        [&]() -> Result<std::optional<PublishedDocument>> {
+            BOOST_LEAF_AUTO(json,
+                            parseJsonObject(text, "configuration", ResultCode::MalformedMessage));
+            PublishedDocument document;
+            FieldReader reader(json);
+            reader.required("version", document.version);
+            reader.required("publish_id", document.publishId);
+            return reader.error().empty() ? std::optional(std::move(document)) : std::nullopt;
+        },
+        [](const Error &) { return std::optional<PublishedDocument> {}; });
+}
+
 std::string writeConfigurationDocument(const Configuration &configuration)
 {
     const Document document { configuration.version, configuration.publishId,
                               valuesOf(configuration.classes), valuesOf(configuration.pools),
                               valuesOf(configuration.teams) };
-    FieldWriter writer;
-    describe(writer, document);
-    return writeJson(writer.take());
+    return writeJsonDocument(document);
 }
 
 } // namespace crocusport
--- a/src/protocol/hostlistcodec.cpp
+++ b/src/protocol/hostlistcodec.cpp
@@ -1,8 +1,7 @@
 #include "crocusport/protocol/hostlistcodec.h"
 
-#include "jsonfields.h"
-#include "jsontext.h"
-#include "socketaddresstext.h"
+#include "crocusport/protocol/socketaddresstext.h"
+#include "jsondocument.h"
 
 #include <unordered_set>
 #include <utility>
@@ -20,12 +19,6 @@
 
 } // namespace
 
-template<>
-struct EnumNames<BackendServerState>
-{
-    static constexpr std::array<std::string_view, 2> kNames = { "live", "leaving" };
-};
-
 void describe(auto &fields, Is<BackendServer> auto &server)
 {
     fields.required("name", server.name);
@@ -55,12 +48,7 @@
 
 Result<std::vector<BackendServer>> parseHostList(std::string_view body)
 {
-    BOOST_LEAF_AUTO(json, parseJsonObject(body, "host list", ResultCode::MalformedMessage));
-    HostList list;
-    FieldReader reader(json);
-    describe(reader, list);
-    if (!reader.error().empty())
-        return makeError(ResultCode::MalformedMessage, "host list: " + reader.error());
+    BOOST_LEAF_AUTO(list, parseJsonDocument<HostList>(body, "host list"));
     std::unordered_set<BackendServerName> names;
     for (const auto &server : list.hosts) {
         const auto fault = [&](const std::string &text) {
@@ -80,23 +68,17 @@
 std::string writeHostList(const std::vector<BackendServer> &servers)
 {
     const HostList list { servers };
-    return writeJson(FieldWriter::toJson(list));
+    return writeJsonDocument(list);
 }
 
 Result<BackendHealth> parseBackendHealth(std::string_view body)
 {
-    BOOST_LEAF_AUTO(json, parseJsonObject(body, "health", ResultCode::MalformedMessage));
-    BackendHealth health;
-    FieldReader reader(json);
-    describe(reader, health);
-    if (!reader.error().empty())
-        return makeError(ResultCode::MalformedMessage, "health: " + reader.error());
-    return health;
+    return parseJsonDocument<BackendHealth>(body, "health");
 }
 
 std::string writeBackendHealth(const BackendHealth &health)
 {
-    return writeJson(FieldWriter::toJson(health));
+    return writeJsonDocument(health);
 }
 
 } // namespace crocusport
--- a/src/protocol/jsonfields.h
+++ b/src/protocol/jsonfields.h
@@ -1,6 +1,8 @@
 #ifndef CROCUSPORT_JSONFIELDS_H
 #define CROCUSPORT_JSONFIELDS_H
 
+#include "enumnames.h"
+
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 
@@ -25,10 +27,6 @@
 template<typename T, typename Structure>
 concept Is = std::same_as<std::remove_const_t<T>, Structure>;
 
-//! Specialised for each enum that is transmitted; its kNames lists the names by value.
-template<typename Enum>
-struct EnumNames;
-
 //! Longer durations are malformed, so that adding one to a time cannot overflow.
 inline constexpr std::chrono::hours kMaxTransmittedDuration { 24 * 30 };
 
--- a/src/protocol/keytable.cpp
+++ b/src/protocol/keytable.cpp
@@ -1,6 +1,6 @@
 #include "keytable.h"
 
-#include "socketaddresstext.h"
+#include "crocusport/protocol/socketaddresstext.h"
 
 #include <charconv>
 #include <cmath>
--- a/src/protocol/peermessagecodec.cpp
+++ b/src/protocol/peermessagecodec.cpp
@@ -8,27 +8,6 @@
 
 namespace crocusport {
 
-template<>
-struct EnumNames<MemberState>
-{
-    static constexpr std::array<std::string_view, 4> kNames = { "alive", "suspect", "dead",
-                                                                "leaving" };
-};
-
-template<>
-struct EnumNames<ObservationKind>
-{
-    static constexpr std::array<std::string_view, 3> kNames = { "leaving", "crashed", "suspected" };
-};
-
-template<>
-struct EnumNames<ReleaseReason>
-{
-    static constexpr std::array<std::string_view, 6> kNames = {
-        "completed", "cancelled", "failed", "refused", "crashed", "timeout"
-    };
-};
-
 namespace {
 
 // Names of the messages, by their index in PeerMessage.
--- a/src/protocol/socketaddresstext.cpp
+++ b/src/protocol/socketaddresstext.cpp
@@ -1,4 +1,4 @@
-#include "socketaddresstext.h"
+#include "crocusport/protocol/socketaddresstext.h"
 
 #include <arpa/inet.h>
 
