Transport: Add authenticated peer links

Routers need links that prove the shared key in both directions, survive simultaneous dialing and bound the memory that a peer can use.

websocketpp sends a close frame after a protocol error and then stops to read without calling a handler, so that a link stayed half open; the endpoint now looks at the connection's state after each read. It also ends the input when it is destroyed, since the connection owns itself until then, rejects messages that are not binary, and takes no HTTP body.

Of two links that were dialed at the same time, the one that the router with the smaller name has dialed is preferred, and only that router closes the other one soon; each side closing the one it likes less could close both.

--- a/include/crocusport/transport/peernetwork.h
+++ b/include/crocusport/transport/peernetwork.h
@@ -19,6 +19,13 @@
 
     Messages on one link arrive in order; a message may be lost when its link breaks.
 
+    Two routers that dial each other at the same time get two links. Both prefer the one that the
+    router with the smaller name has dialed, and both receive on either. That router closes the
+    other one shortly after, so that the two never close different ones. Of links that did not
+    start at the same time, the newer is preferred, since the older may have gone silent.
+
+    Handlers must not destroy the network.
+
     Thread safety: loop thread only.
 */
 class PeerNetwork
@@ -38,7 +45,9 @@
     struct Handlers
     {
         std::function<void(const RouterName &from, PeerMessage message)> onMessage;
+        //! The peer has its first link, or one with another incarnation than before.
         std::function<void(const MemberInfo &peer)> onLinkUp;
+        //! The peer has no link any more. Called from the loop, never inside a method.
         std::function<void(const RouterName &peer)> onLinkDown;
     };
 
@@ -53,17 +62,24 @@
     const MemberInfo &self() const;
     //! Opens a link to an address whose router is not known yet; onLinkUp tells who it is.
     void connectTo(const SocketAddress &address);
-    //! Sends \a message to \a to, opening a link to \a address when there is none.
+    /*!
+        Sends \a message to \a to, opening a link to \a address when there is none. The message is
+        dropped when another router answers there, or when it is over \a maxMessageBytes.
+    */
     void send(const RouterName &to, const SocketAddress &address, const PeerMessage &message);
     //! Closes the link to \a peer, if any; the next send opens a new one.
     void closeLink(const RouterName &peer);
     bool hasLink(const RouterName &peer) const;
+    //! Number of peers that have a link.
     std::size_t linkCount() const;
+    //! Number of TCP connections, with those in a handshake or about to be closed.
+    std::size_t connectionCount() const;
     //! Bytes received and sent on all links since the start.
     std::uint64_t bytesReceived() const;
     std::uint64_t bytesSent() const;
 
 private:
+    friend class PeerLink;
     PeerNetwork();
 
     struct Private;
--- /dev/null
+++ b/src/transport/peernetworkprivate.cpp
@@ -0,0 +1,305 @@
+#include "peernetwork_p.h"
+
+#include "crocusport/protocol/peermessagecodec.h"
+#include "crocusport/transport/eventloop.h"
+
+#include "socketaddresses.h"
+
+#include <event2/bufferevent.h>
+#include <glog/logging.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+// Pause after accept() failed for lack of descriptors, so that the loop does not spin on it.
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
+// Messages that the peer sent before it saw the better link arrive within this time.
+constexpr Duration kRedundantLinkDelay = std::chrono::seconds(1);
+// The side that does not decide closes a redundant link itself when the other side has not.
+constexpr Duration kUndecidedLinkDelay = std::chrono::seconds(5);
+// Connections without proof; an honest handshake takes milliseconds, so the oldest one is closed.
+constexpr std::size_t kMaxAcceptedHandshakes = 64;
+
+} // namespace
+
+PeerNetwork::Private::Private(EventLoop &eventLoop, Options networkOptions,
+                              Handlers networkHandlers)
+    : loop(eventLoop), options(std::move(networkOptions)), handlers(std::move(networkHandlers)),
+      acceptTimer(loop, [this] { evconnlistener_enable(listener); }),
+      cleanUpTimer(loop, [this] { cleanUp(); })
+{ }
+
+PeerNetwork::Private::~Private()
+{
+    if (listener)
+        evconnlistener_free(listener);
+}
+
+Result<void> PeerNetwork::Private::listen()
+{
+    BOOST_LEAF_ASSIGN(listener,
+                      openListener(loop.base(), options.listen, &Private::onAccepted, this));
+    evconnlistener_set_error_cb(listener, &Private::onAcceptError);
+    constexpr std::string_view kAnyPort = ":0";
+    const std::string_view own = options.self.address.value();
+    if (own.empty() || (own.size() > kAnyPort.size() && own.ends_with(kAnyPort)))
+        options.self.address = listenerAddress(listener);
+    return {};
+}
+
+void PeerNetwork::Private::onAccepted(evconnlistener * /*listener*/, int socket, sockaddr *address,
+                                      int /*size*/, void *self)
+{
+    auto *const network = static_cast<Private *>(self);
+    const int enabled = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    network->addLink(PeerLink::Side::Accepted, toSocketAddress(*address), {}, socket).start();
+    network->limitHandshakes();
+}
+
+void PeerNetwork::Private::onAcceptError(evconnlistener *listener, void *self)
+{
+    evconnlistener_disable(listener);
+    static_cast<Private *>(self)->acceptTimer.startOnce(kAcceptRetryDelay);
+}
+
+PeerLink &PeerNetwork::Private::addLink(PeerLink::Side side, const SocketAddress &address,
+                                        const RouterName &expected, int socket)
+{
+    auto *const buffers = bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
+    CHECK(buffers) << "out of memory";
+    links.push_back(
+        std::make_unique<PeerLink>(*this, side, address, expected, buffers, ++eventNumber));
+    return *links.back();
+}
+
+void PeerNetwork::Private::connectTo(const SocketAddress &address)
+{
+    const bool isKnown = std::any_of(links.begin(), links.end(), [&](const auto &link) {
+        return link->isUp() ? link->peer().address == address : link->address() == address;
+    });
+    if (!isKnown)
+        addLink(PeerLink::Side::Dialed, address, {}, -1).start();
+}
+
+void PeerNetwork::Private::dial(const SocketAddress &address, const RouterName &expected)
+{
+    for (const auto &link : links) {
+        if (link->isUp() || link->side() != PeerLink::Side::Dialed || link->address() != address)
+            continue;
+        if (link->expected().value().empty())
+            link->setExpected(expected);
+        if (link->expected() == expected)
+            return;
+    }
+    addLink(PeerLink::Side::Dialed, address, expected, -1).start();
+}
+
+PeerLink *PeerNetwork::Private::currentLink(const RouterName &peer) const
+{
+    const auto found = current.find(peer);
+    return found == current.end() ? nullptr : found->second;
+}
+
+void PeerNetwork::Private::send(const RouterName &to, const SocketAddress &address,
+                                const PeerMessage &message)
+{
+    auto encoded = encodePeerMessage(message);
+    if (encoded.size() > options.maxMessageBytes || to == options.self.name) {
+        LOG(ERROR) << "event=peer_message_dropped peer=" << to << " bytes=" << encoded.size();
+        return;
+    }
+    if (auto *const link = currentLink(to)) {
+        use(*link);
+        link->send(encoded);
+        return;
+    }
+    wait(to, std::move(encoded));
+    dial(address, to);
+}
+
+void PeerNetwork::Private::wait(const RouterName &to, std::string message)
+{
+    auto &queue = waiting[to];
+    queue.bytes += message.size();
+    queue.messages.push_back(std::move(message));
+    if (queue.bytes > options.maxBufferedBytes)
+        dropWaiting(to, "too many bytes");
+}
+
+void PeerNetwork::Private::dropWaiting(const RouterName &to, const char *reason)
+{
+    const auto found = waiting.find(to);
+    if (found == waiting.end())
+        return;
+    LOG(WARNING) << "event=peer_messages_dropped peer=" << to
+                 << " count=" << found->second.messages.size() << " reason=\"" << reason << '"';
+    waiting.erase(found);
+}
+
+void PeerNetwork::Private::closeLink(const RouterName &peer)
+{
+    // Closing a link makes the next best one current, so all must go.
+    while (auto *const link = currentLink(peer))
+        link->close("closed by this router");
+}
+
+// Whether this router should send on \a left rather than on \a right, two links to one peer.
+bool PeerNetwork::Private::isBetter(const PeerLink &left, const PeerLink &right) const
+{
+    if (left.peer().incarnation != right.peer().incarnation)
+        return left.peer().incarnation > right.peer().incarnation;
+    const auto &later = left.upNumber() > right.upNumber() ? left : right;
+    const auto &earlier = &later == &left ? right : left;
+    const bool startedTogether = later.startNumber() < earlier.upNumber();
+    if (!startedTogether || left.side() == right.side())
+        return &left == &later;
+    const bool isSmaller = options.self.name < left.peer().name;
+    return (left.side() == PeerLink::Side::Dialed) == isSmaller;
+}
+
+PeerLink *PeerNetwork::Private::bestLink(const RouterName &peer) const
+{
+    PeerLink *best = nullptr;
+    for (const auto &link : links) {
+        if (link->isUp() && link->peer().name == peer && (!best || isBetter(*link, *best)))
+            best = link.get();
+    }
+    return best;
+}
+
+// Makes the best link current and has the others closed: at once when they lead to an earlier
+// start of the peer, else when both sides have stopped to send on them.
+void PeerNetwork::Private::settle(const RouterName &peer)
+{
+    auto *const best = bestLink(peer);
+    if (!best) {
+        if (current.erase(peer) > 0)
+            downs.push_back(peer);
+        return;
+    }
+    current[peer] = best;
+    const bool decides = options.self.name < peer;
+    std::vector<PeerLink *> outdated;
+    for (const auto &link : links) {
+        if (!link->isUp() || link.get() == best || link->peer().name != peer)
+            continue;
+        if (link->peer().incarnation < best->peer().incarnation)
+            outdated.push_back(link.get());
+        else
+            link->reviewLater(decides ? kRedundantLinkDelay : kUndecidedLinkDelay);
+    }
+    for (auto *const link : outdated)
+        link->close("peer has restarted");
+}
+
+void PeerNetwork::Private::review(PeerLink &link)
+{
+    if (currentLink(link.peer().name) != &link)
+        link.close("redundant");
+}
+
+void PeerNetwork::Private::markUp(PeerLink &link)
+{
+    link.setUpNumber(++eventNumber);
+    use(link);
+    const MemberInfo peer = link.peer();
+    LOG(INFO) << "event=peer_link_up peer=" << peer.name << " address=" << link.address()
+              << " dialed=" << (link.side() == PeerLink::Side::Dialed);
+    const auto *const previous = currentLink(peer.name);
+    const bool isNews = !previous || previous->peer().incarnation < peer.incarnation;
+    flushDowns(); // Else the peer's earlier end would be reported after its new start.
+    settle(peer.name);
+    if (isNews && handlers.onLinkUp && link.isUp())
+        handlers.onLinkUp(peer);
+
+    if (!link.expected().value().empty() && link.expected() != peer.name)
+        dropWaiting(link.expected(), "another router answered");
+    const auto queue = waiting.extract(peer.name);
+    auto *const target = currentLink(peer.name);
+    if (!queue.empty() && target) {
+        for (const auto &message : queue.mapped().messages)
+            target->send(message);
+    }
+    limitLinks(link);
+}
+
+void PeerNetwork::Private::markClosed(PeerLink &link, const std::string &reason)
+{
+    const bool wasUp = link.upNumber() != 0;
+    LOG(INFO) << "event=peer_link_closed peer=" << (wasUp ? link.peer().name : link.expected())
+              << " address=" << link.address() << " up=" << wasUp << " reason=\"" << reason << '"';
+    const auto found = std::find_if(links.begin(), links.end(),
+                                    [&](const auto &other) { return other.get() == &link; });
+    CHECK(found != links.end());
+    closedLinks.push_back(std::move(*found));
+    links.erase(found);
+    cleanUpTimer.startOnce(Duration::zero());
+    if (wasUp) {
+        settle(link.peer().name);
+        return;
+    }
+    const auto &expected = link.expected();
+    const bool isStillDialing = std::any_of(links.begin(), links.end(), [&](const auto &other) {
+        return !other->isUp() && other->expected() == expected;
+    });
+    if (!expected.value().empty() && !isStillDialing)
+        dropWaiting(expected, "no link");
+}
+
+void PeerNetwork::Private::deliver(PeerLink &link, PeerMessage message)
+{
+    use(link);
+    flushDowns();
+    if (handlers.onMessage && link.isUp())
+        handlers.onMessage(link.peer().name, std::move(message));
+}
+
+void PeerNetwork::Private::limitLinks(const PeerLink &newest)
+{
+    while (current.size() > options.maxLinks) {
+        PeerLink *oldest = nullptr;
+        for (const auto &[peer, link] : current) {
+            if (link != &newest && (!oldest || link->lastUse() < oldest->lastUse()))
+                oldest = link;
+        }
+        if (!oldest)
+            return;
+        LOG(INFO) << "event=peer_link_evicted peer=" << oldest->peer().name;
+        closeLink(RouterName(oldest->peer().name));
+    }
+}
+
+void PeerNetwork::Private::limitHandshakes()
+{
+    const auto isPending = [](const auto &link) {
+        return link->side() == PeerLink::Side::Accepted && !link->isUp();
+    };
+    // Links stand in the order of their start.
+    if (static_cast<std::size_t>(std::count_if(links.begin(), links.end(), isPending))
+        > kMaxAcceptedHandshakes)
+        (*std::find_if(links.begin(), links.end(), isPending))->close("too many handshakes");
+}
+
+void PeerNetwork::Private::flushDowns()
+{
+    for (const auto &peer : std::exchange(downs, {})) {
+        if (handlers.onLinkDown && !currentLink(peer))
+            handlers.onLinkDown(peer);
+    }
+}
+
+void PeerNetwork::Private::cleanUp()
+{
+    closedLinks.clear();
+    flushDowns();
+}
+
+} // namespace crocusport
--- a/src/transport/socketaddresses.cpp
+++ b/src/transport/socketaddresses.cpp
@@ -14,24 +14,6 @@
 // Bursts of new connections wait here while the loop is busy with other events.
 constexpr int kListenBacklog = 1024;
 
-// Returns the size of the filled-in \a address, or 0 when \a parts holds no IP address.
-int fillAddress(const HostAndPort &parts, sockaddr_storage &address)
-{
-    auto *const ipv4 = reinterpret_cast<sockaddr_in *>(&address);
-    if (inet_pton(AF_INET, parts.host.c_str(), &ipv4->sin_addr) == 1) {
-        ipv4->sin_family = AF_INET;
-        ipv4->sin_port = htons(parts.port);
-        return sizeof(*ipv4);
-    }
-    auto *const ipv6 = reinterpret_cast<sockaddr_in6 *>(&address);
-    if (inet_pton(AF_INET6, parts.host.c_str(), &ipv6->sin6_addr) == 1) {
-        ipv6->sin6_family = AF_INET6;
-        ipv6->sin6_port = htons(parts.port);
-        return sizeof(*ipv6);
-    }
-    return 0;
-}
-
 } // namespace
 
 Result<HostAndPort> splitSocketAddress(const SocketAddress &address)
@@ -57,29 +39,60 @@
     return SocketAddress((isIpv6 ? "[" + host + "]" : host) + ":" + std::to_string(port));
 }
 
+Result<RawSocketAddress> parseSocketAddress(const SocketAddress &address)
+{
+    BOOST_LEAF_AUTO(parts, splitSocketAddress(address));
+    RawSocketAddress result;
+    auto *const ipv4 = reinterpret_cast<sockaddr_in *>(&result.storage);
+    if (inet_pton(AF_INET, parts.host.c_str(), &ipv4->sin_addr) == 1) {
+        ipv4->sin_family = AF_INET;
+        ipv4->sin_port = htons(parts.port);
+        result.size = sizeof(*ipv4);
+        return result;
+    }
+    auto *const ipv6 = reinterpret_cast<sockaddr_in6 *>(&result.storage);
+    if (inet_pton(AF_INET6, parts.host.c_str(), &ipv6->sin6_addr) == 1) {
+        ipv6->sin6_family = AF_INET6;
+        ipv6->sin6_port = htons(parts.port);
+        result.size = sizeof(*ipv6);
+        return result;
+    }
+    return makeError(ResultCode::BadSettings, "\"" + parts.host + "\" is not an IP address");
+}
+
 Result<evconnlistener *> openListener(event_base *base, const SocketAddress &address,
                                       evconnlistener_cb callback, void *argument)
 {
-    sockaddr_storage storage {};
-    const int size = handleErrors(
-        [&]() -> Result<int> {
-            BOOST_LEAF_AUTO(parts, splitSocketAddress(address));
-            return fillAddress(parts, storage);
-        },
-        [](const Error & /*error*/) { return 0; });
-    if (size == 0)
+    const auto raw = handleErrors([&] { return parseSocketAddress(address); },
+                                  [](const Error & /*error*/) { return RawSocketAddress(); });
+    if (raw.size == 0)
         return makeError(ResultCode::ListenFailed,
                          "cannot listen on " + address.value() + ": not an IP address and port");
     constexpr unsigned kFlags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC;
-    auto *const listener =
-        evconnlistener_new_bind(base, callback, argument, kFlags, kListenBacklog,
-                                reinterpret_cast<const sockaddr *>(&storage), size);
+    auto *const listener = evconnlistener_new_bind(base, callback, argument, kFlags, kListenBacklog,
+                                                   raw.get(), raw.size);
     if (!listener)
         return makeError(ResultCode::ListenFailed,
                          "cannot listen on " + address.value() + ": " + std::strerror(errno));
     return listener;
 }
 
+SocketAddress toSocketAddress(const sockaddr &address)
+{
+    char host[INET6_ADDRSTRLEN] = {};
+    if (address.sa_family == AF_INET6) {
+        const auto *const ipv6 = reinterpret_cast<const sockaddr_in6 *>(&address);
+        inet_ntop(AF_INET6, &ipv6->sin6_addr, host, sizeof(host));
+        return joinSocketAddress(host, ntohs(ipv6->sin6_port));
+    }
+    if (address.sa_family == AF_INET) {
+        const auto *const ipv4 = reinterpret_cast<const sockaddr_in *>(&address);
+        inet_ntop(AF_INET, &ipv4->sin_addr, host, sizeof(host));
+        return joinSocketAddress(host, ntohs(ipv4->sin_port));
+    }
+    return {};
+}
+
 SocketAddress listenerAddress(evconnlistener *listener)
 {
     sockaddr_storage storage {};
@@ -87,15 +100,7 @@
     auto *const address = reinterpret_cast<sockaddr *>(&storage);
     if (getsockname(evconnlistener_get_fd(listener), address, &size) != 0)
         return {};
-    char host[INET6_ADDRSTRLEN] = {};
-    if (storage.ss_family == AF_INET6) {
-        const auto *const ipv6 = reinterpret_cast<const sockaddr_in6 *>(&storage);
-        inet_ntop(AF_INET6, &ipv6->sin6_addr, host, sizeof(host));
-        return joinSocketAddress(host, ntohs(ipv6->sin6_port));
-    }
-    const auto *const ipv4 = reinterpret_cast<const sockaddr_in *>(&storage);
-    inet_ntop(AF_INET, &ipv4->sin_addr, host, sizeof(host));
-    return joinSocketAddress(host, ntohs(ipv4->sin_port));
+    return toSocketAddress(*address);
 }
 
 } // namespace crocusport
--- a/src/transport/socketaddresses.h
+++ b/src/transport/socketaddresses.h
@@ -6,6 +6,8 @@
 
 #include <event2/listener.h>
 
+#include <sys/socket.h>
+
 #include <cstdint>
 #include <string>
 
@@ -23,12 +25,25 @@
 //! Joins \a host and \a port; an IPv6 address gets brackets. Safe from any thread.
 SocketAddress joinSocketAddress(const std::string &host, std::uint16_t port);
 
+//! An IP address and port as the socket functions take it.
+struct RawSocketAddress
+{
+    sockaddr_storage storage {};
+    int size = 0;
+
+    const sockaddr *get() const { return reinterpret_cast<const sockaddr *>(&storage); }
+};
+
+//! Converts \a address. Fails with BadSettings when it is not an IP address and port.
+Result<RawSocketAddress> parseSocketAddress(const SocketAddress &address);
 /*!
     Listens on \a address; port 0 takes a free one. Accepted sockets go to \a callback, which may be
     null until evconnlistener_set_cb(). Fails with ListenFailed. Loop thread only.
 */
 Result<evconnlistener *> openListener(event_base *base, const SocketAddress &address,
                                       evconnlistener_cb callback, void *argument);
+//! Returns the text of \a address, or nothing for another family than IP. Safe from any thread.
+SocketAddress toSocketAddress(const sockaddr &address);
 //! Returns the address that \a listener has, with the actual port. Loop thread only.
 SocketAddress listenerAddress(evconnlistener *listener);
 
--- a/src/websocket/websocketendpoint.cpp
+++ b/src/websocket/websocketendpoint.cpp
@@ -61,11 +61,15 @@
         endpoint_.clear_error_channels(websocketpp::log::elevel::all);
         endpoint_.register_ostream(&output_);
         endpoint_.set_max_message_size(maxMessageBytes);
+        endpoint_.set_max_http_body_size(0); // A handshake has no body.
         // A connection copies the handlers when it is made, so they are set before that.
         endpoint_.set_open_handler([this](const websocketpp::connection_hdl &) { markOpen(); });
         endpoint_.set_message_handler([this](const websocketpp::connection_hdl &,
                                              const typename Endpoint::message_ptr &message) {
-            handlers_.onMessage(message->get_payload());
+            if (message->get_opcode() == websocketpp::frame::opcode::binary)
+                handlers_.onMessage(std::move(message->get_raw_payload()));
+            else
+                markClosed("message is not binary");
         });
         endpoint_.set_close_handler(
             [this](const websocketpp::connection_hdl &) { markClosed("closed by peer"); });
@@ -73,11 +77,25 @@
             [this](const websocketpp::connection_hdl &) { markClosed("handshake failed"); });
     }
 
+    // Until the connection is told that its input has ended, it owns itself.
+    ~SideOf() override
+    {
+        isClosed_ = true;
+        if (connection_)
+            connection_->eof();
+    }
+
     bool receive(std::string_view bytes) override
     {
         if (isClosed_)
             return false;
-        connection_->read_all(bytes.data(), bytes.size());
+        const auto consumed = connection_->read_all(bytes.data(), bytes.size());
+        // After a protocol error, websocketpp sends a close frame and reads no further without
+        // calling a handler.
+        const auto state = connection_->get_state();
+        if (consumed < bytes.size() || state == websocketpp::session::state::closing
+            || state == websocketpp::session::state::closed)
+            markClosed("closed after a protocol error or by the peer");
         return !isClosed_;
     }
 
@@ -100,7 +118,11 @@
     }
 
 protected:
-    void markOpen() { handlers_.onOpen(); }
+    void markOpen()
+    {
+        if (!isClosed_)
+            handlers_.onOpen();
+    }
 
     void markClosed(const std::string &reason)
     {
--- /dev/null
+++ b/tests/transport/testpeernetwork.cpp
@@ -0,0 +1,446 @@
+#include "looprunner.h"
+#include "peernode.h"
+#include "rawclient.h"
+#include "rawserver.h"
+
+#include "crocusport/protocol/peermessagecodec.h"
+#include "websocketendpoint.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace crocusport;
+
+namespace {
+
+using Numbers = std::vector<std::uint64_t>;
+
+Numbers numbersFrom(std::uint64_t first, std::uint64_t count)
+{
+    Numbers result(count);
+    for (std::uint64_t i = 0; i < count; ++i)
+        result[i] = first + i;
+    return result;
+}
+
+//! A connection to a node that speaks WebSocket but sends what the test says.
+class RawPeer
+{
+public:
+    RawPeer(EventLoop &loop, const SocketAddress &address) : socket_(loop, address)
+    {
+        WebSocketEndpoint::Handlers handlers;
+        handlers.onOutput = [this](std::string_view bytes) { socket_.send(bytes); };
+        handlers.onOpen = [this] { isOpen_ = true; };
+        handlers.onMessage = [this](const std::string &message) { messages_.push_back(message); };
+        handlers.onClosed = [](const std::string & /*reason*/) {};
+        endpoint_ = std::make_unique<WebSocketEndpoint>(WebSocketEndpoint::Role::Client, "a:1",
+                                                        kMaxPeerMessageBytes, handlers);
+        endpoint_->start();
+    }
+
+    RawClient &socket() { return socket_; }
+    void send(const std::string &message) { endpoint_->send(message); }
+    bool isClosed() const { return socket_.isClosed(); }
+    //! Passes on what has arrived. Returns whether the WebSocket handshake is done.
+    bool isOpen()
+    {
+        const auto bytes = std::string_view(socket_.received()).substr(taken_);
+        taken_ = socket_.received().size();
+        if (!bytes.empty())
+            endpoint_->receive(bytes);
+        return isOpen_;
+    }
+    std::size_t messageCount()
+    {
+        isOpen();
+        return messages_.size();
+    }
+
+private:
+    RawClient socket_;
+    std::unique_ptr<WebSocketEndpoint> endpoint_;
+    std::vector<std::string> messages_;
+    std::size_t taken_ = 0;
+    bool isOpen_ = false;
+};
+
+} // namespace
+
+SCENARIO("Routers exchange messages over one link")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    PeerNode right(runner.loop(), "right");
+
+    // Guards against messages that are lost or reordered while the link is being opened.
+    for (std::uint64_t i = 1; i <= 100; ++i)
+        left.ping(right, i);
+    REQUIRE(runner.runUntil([&] { return right.pingsFrom(left).size() == 100; }));
+    REQUIRE(right.pingsFrom(left) == numbersFrom(1, 100));
+    REQUIRE(left.ups == std::vector { right.network().self() });
+    REQUIRE(right.ups == std::vector { left.network().self() });
+
+    WHEN("the other side answers")
+    {
+        for (std::uint64_t i = 1; i <= 100; ++i)
+            right.ping(left, i);
+        THEN("it uses the same link")
+        {
+            REQUIRE(runner.runUntil([&] { return left.pingsFrom(right).size() == 100; }));
+            REQUIRE(left.pingsFrom(right) == numbersFrom(1, 100));
+            REQUIRE(left.network().linkCount() == 1);
+            REQUIRE(left.ups.size() == 1);
+            REQUIRE(left.network().bytesReceived() == right.network().bytesSent());
+            REQUIRE(left.network().bytesSent() == right.network().bytesReceived());
+        }
+    }
+    WHEN("the link is closed")
+    {
+        left.network().closeLink(right.name());
+        REQUIRE_FALSE(left.hasLink(right));
+        REQUIRE(left.downs.empty());
+        REQUIRE(runner.runUntil([&] { return left.downs.size() + right.downs.size() == 2; }));
+        REQUIRE_FALSE(right.hasLink(left));
+        THEN("the next message opens a new one")
+        {
+            right.ping(left, 7);
+            REQUIRE(runner.runUntil([&] { return left.pingsFrom(right) == Numbers { 7 }; }));
+            REQUIRE(left.ups.size() == 2);
+        }
+    }
+    WHEN("a large message is sent")
+    {
+        ConfigurationMessage configuration;
+        configuration.document = std::string(1'500'000, 'c');
+        left.network().send(right.name(), right.address(), configuration);
+        THEN("it arrives unchanged")
+        {
+            REQUIRE(runner.runUntil([&] { return right.messages.size() == 101; }));
+            REQUIRE(std::get<ConfigurationMessage>(right.messages.back().second).document
+                    == configuration.document);
+        }
+    }
+    WHEN("a message over the limit is sent")
+    {
+        ConfigurationMessage configuration;
+        configuration.document = std::string(3'000'000, 'c');
+        left.network().send(right.name(), right.address(), configuration);
+        // Guards against one message that costs the link and all others on it.
+        THEN("it is dropped and the link goes on")
+        {
+            left.ping(right, 101);
+            REQUIRE(runner.runUntil([&] { return right.pingsFrom(left).size() == 101; }));
+            REQUIRE(right.downs.empty());
+        }
+    }
+}
+
+SCENARIO("A link to an address whose router is not known")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    PeerNode right(runner.loop(), "right");
+
+    WHEN("the address is dialed")
+    {
+        left.network().connectTo(right.address());
+        left.network().connectTo(right.address());
+        THEN("one link tells who it is")
+        {
+            REQUIRE(runner.runUntil([&] { return left.ups.size() + right.ups.size() == 2; }));
+            REQUIRE(left.ups.front().name == right.name());
+            left.network().connectTo(right.address());
+            runner.runFor(Milliseconds(20));
+            REQUIRE(right.ups.size() == 1);
+        }
+        THEN("messages sent meanwhile use that link")
+        {
+            left.ping(right, 1);
+            REQUIRE(runner.runUntil([&] { return right.pingsFrom(left).size() == 1; }));
+            REQUIRE(right.ups.size() == 1);
+        }
+    }
+    // Guards against a router that takes itself for a peer.
+    WHEN("a router dials itself")
+    {
+        left.network().connectTo(left.address());
+        runner.runFor(Milliseconds(50));
+        REQUIRE(left.ups.empty());
+        REQUIRE(left.network().linkCount() == 0);
+    }
+    // Guards against a message that reaches another router than it was meant for.
+    WHEN("another router answers than the one expected")
+    {
+        PingMessage ping;
+        left.network().send(RouterName("other"), right.address(), ping);
+        REQUIRE(runner.runUntil([&] { return left.hasLink(right); }));
+        runner.runFor(Milliseconds(20));
+        REQUIRE(right.messages.empty());
+        REQUIRE_FALSE(left.network().hasLink(RouterName("other")));
+    }
+    WHEN("the address refuses connections or is none")
+    {
+        const auto address = GENERATE(values<std::string>({ "127.0.0.1:1", "nowhere", "" }));
+        left.network().send(RouterName("other"), SocketAddress(address), PingMessage());
+        runner.runFor(Milliseconds(20));
+        REQUIRE(left.network().linkCount() == 0);
+        REQUIRE(left.downs.empty());
+    }
+}
+
+SCENARIO("Two routers dial each other at the same time")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    PeerNode right(runner.loop(), "right");
+
+    // Guards against both links being closed, one by each side, and against lost messages.
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        left.ping(right, i);
+        right.ping(left, i);
+    }
+    std::uint64_t sent = 10;
+    bool hadTwo = false;
+    REQUIRE(runner.runUntil([&] {
+        ++sent;
+        left.ping(right, sent);
+        right.ping(left, sent);
+        const bool isOne =
+            left.network().connectionCount() == 1 && right.network().connectionCount() == 1;
+        hadTwo = hadTwo || left.network().connectionCount() == 2;
+        return hadTwo && isOne;
+    }));
+    REQUIRE(runner.runUntil([&] {
+        return left.pingsFrom(right).size() >= sent && right.pingsFrom(left).size() >= sent;
+    }));
+    REQUIRE(left.pingsFrom(right).size() == sent);
+    REQUIRE(right.pingsFrom(left).size() == sent);
+    REQUIRE(left.ups.size() == 1);
+    REQUIRE(right.ups.size() == 1);
+    REQUIRE(left.downs.empty());
+    REQUIRE(right.downs.empty());
+    REQUIRE(left.network().linkCount() == 1);
+}
+
+SCENARIO("A peer that restarts")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    auto right = std::make_unique<PeerNode>(runner.loop(), "right");
+    left.ping(*right, 1);
+    REQUIRE(runner.runUntil([&] { return right->messages.size() == 1; }));
+
+    // Guards against a link to the earlier start that stays in use.
+    WHEN("its new start dials before the old link is known to be dead")
+    {
+        PeerNode next(runner.loop(), "right",
+                      [](auto &options) { options.self.incarnation = Incarnation(2); });
+        next.ping(left, 1);
+        REQUIRE(runner.runUntil([&] { return left.ups.size() == 2; }));
+        REQUIRE(left.ups.back().incarnation == Incarnation(2));
+        left.ping(next, 2);
+        REQUIRE(runner.runUntil([&] { return next.messages.size() == 1; }));
+        REQUIRE(right->messages.size() == 1);
+        REQUIRE(runner.runUntil([&] { return right->downs.size() == 1; }));
+        REQUIRE(left.downs.empty());
+    }
+    WHEN("it goes away")
+    {
+        right.reset();
+        REQUIRE(runner.runUntil([&] { return left.downs.size() == 1; }));
+        REQUIRE(left.network().linkCount() == 0);
+    }
+}
+
+SCENARIO("Peers that must not get a link")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    PeerNode right(runner.loop(), "right");
+    left.ping(right, 1);
+    REQUIRE(runner.runUntil([&] { return right.messages.size() == 1; }));
+
+    WHEN("a peer has another key")
+    {
+        PeerNode wrong(runner.loop(), "wrong",
+                       [](auto &options) { options.sharedKey = "another key"; });
+        wrong.ping(left, 1);
+        runner.runFor(Milliseconds(50));
+        REQUIRE(wrong.network().linkCount() == 0);
+        REQUIRE(wrong.ups.empty());
+    }
+    WHEN("a peer says nothing")
+    {
+        RawClient silent(runner.loop(), left.address());
+        REQUIRE(runner.runUntil([&] { return silent.isClosed(); }));
+    }
+    WHEN("a peer sends")
+    {
+        RawPeer peer(runner.loop(), left.address());
+        REQUIRE(runner.runUntil([&] { return peer.isOpen(); }));
+        HelloMessage hello;
+        hello.self.name = RouterName("raw");
+        hello.nonce = std::string(32, 'n');
+        AND_WHEN("a malformed message")
+        {
+            peer.send("garbage");
+        }
+        AND_WHEN("a message before the handshake")
+        {
+            peer.send(encodePeerMessage(PingMessage()));
+        }
+        AND_WHEN("a message after its Hello, without proof")
+        {
+            peer.send(encodePeerMessage(hello));
+            peer.send(encodePeerMessage(PingMessage()));
+        }
+        AND_WHEN("a wrong protocol version")
+        {
+            hello.protocolVersion = 2;
+            peer.send(encodePeerMessage(hello));
+        }
+        AND_WHEN("a wrong proof")
+        {
+            peer.send(encodePeerMessage(hello));
+            hello.proof = std::string(32, 'p');
+            peer.send(encodePeerMessage(hello));
+        }
+        // Guards against memory that a peer without proof decides on.
+        AND_WHEN("much before its proof")
+        {
+            peer.send(std::string(200'000, 'x'));
+        }
+        REQUIRE(runner.runUntil([&] { return peer.isClosed(); }));
+    }
+    // Guards against a bad link that disturbs another.
+    REQUIRE(left.network().linkCount() == 1);
+    REQUIRE(left.downs.empty());
+    left.ping(right, 2);
+    REQUIRE(runner.runUntil([&] { return right.messages.size() >= 2; }));
+    REQUIRE(left.messages.empty());
+}
+
+SCENARIO("Many connections without proof")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    std::vector<std::unique_ptr<RawClient>> silent;
+    for (int i = 0; i < 200; ++i)
+        silent.push_back(std::make_unique<RawClient>(runner.loop(), left.address()));
+
+    // Guards against silent connections that keep honest peers out or take all descriptors.
+    PeerNode late(runner.loop(), "late");
+    late.ping(left, 1);
+    REQUIRE(runner.runUntil([&] { return left.pingsFrom(late).size() == 1; }));
+    REQUIRE(left.network().connectionCount() < 100);
+    REQUIRE(std::count_if(silent.begin(), silent.end(),
+                          [](const auto &client) { return client->isClosed(); })
+            >= 100);
+}
+
+SCENARIO("The number of links is limited")
+{
+    LoopRunner runner;
+    PeerNode hub(runner.loop(), "hub", [](auto &options) { options.maxLinks = 3; });
+    std::vector<std::unique_ptr<PeerNode>> nodes;
+    for (int i = 0; i < 6; ++i) {
+        nodes.push_back(std::make_unique<PeerNode>(runner.loop(), "node-" + std::to_string(i)));
+        hub.ping(*nodes.back(), 1);
+        REQUIRE(runner.runUntil([&] { return nodes.back()->messages.size() == 1; }));
+        if (i >= 1)
+            hub.ping(*nodes.front(), 2);
+    }
+
+    // Guards against connections that grow with the fleet.
+    THEN("the least recently used one is closed first")
+    {
+        REQUIRE(runner.runUntil([&] { return hub.downs.size() == 3; }));
+        REQUIRE(hub.network().linkCount() == 3);
+        REQUIRE(hub.hasLink(*nodes[0]));
+        REQUIRE(hub.hasLink(*nodes[4]));
+        REQUIRE(hub.hasLink(*nodes[5]));
+    }
+}
+
+SCENARIO("A peer that does not read")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left",
+                  [](auto &options) { options.maxBufferedBytes = 1'000'000; });
+
+    // Guards against memory that grows with an unresponsive peer.
+    WHEN("it accepts the connection and stays silent")
+    {
+        RawServer silent(runner.loop(), "", RawServer::Ending::KeepOpen);
+        ConfigurationMessage configuration;
+        configuration.document = std::string(100'000, 'c');
+        for (int i = 0; i < 100; ++i)
+            left.network().send(RouterName("silent"), silent.address(), configuration);
+        runner.runFor(Milliseconds(20));
+        REQUIRE(left.network().bytesSent() < 10'000);
+        REQUIRE_FALSE(left.network().hasLink(RouterName("silent")));
+    }
+    WHEN("its process stops reading after the handshake")
+    {
+        PeerNode right(runner.loop(), "right");
+        left.ping(right, 1);
+        REQUIRE(runner.runUntil([&] { return right.messages.size() == 1; }));
+        // Without the loop running, nobody reads.
+        ConfigurationMessage configuration;
+        configuration.document = std::string(100'000, 'c');
+        for (int i = 0; i < 15; ++i)
+            left.network().send(right.name(), right.address(), configuration);
+        REQUIRE_FALSE(left.hasLink(right));
+        REQUIRE(left.downs.empty());
+        REQUIRE(runner.runUntil([&] { return left.downs.size() == 1; }));
+    }
+}
+
+SCENARIO("Handlers use the network")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    PeerNode right(runner.loop(), "right");
+    // Guards against a link that is destroyed while it handles its own message.
+    right.onMessage = [&](const RouterName &from) { right.network().closeLink(from); };
+    left.ping(right, 1);
+    left.ping(right, 2);
+    REQUIRE(runner.runUntil([&] { return right.downs.size() == 1; }));
+    REQUIRE(right.messages.size() == 1);
+    right.onMessage = nullptr;
+    REQUIRE(runner.runUntil([&] { return left.downs.size() == 1; }));
+    left.ping(right, 3);
+    REQUIRE(runner.runUntil([&] { return right.messages.size() == 2; }));
+}
+
+// Guards against input that ends the process or disturbs other links.
+TEST_CASE("Random bytes on a peer link disturb nothing else")
+{
+    LoopRunner runner;
+    PeerNode left(runner.loop(), "left");
+    PeerNode right(runner.loop(), "right");
+    std::uint64_t sequence = 0;
+    rc::check("before the WebSocket handshake", [&] {
+        RawClient client(runner.loop(), left.address());
+        for (const auto &bytes : *rc::gen::arbitrary<std::vector<std::string>>())
+            client.send(bytes);
+        runner.runFor(Milliseconds(2));
+        right.ping(left, ++sequence);
+        RC_ASSERT(runner.runUntil([&] { return left.messages.size() == sequence; }));
+    });
+    rc::check("as messages", [&] {
+        RawPeer peer(runner.loop(), left.address());
+        RC_ASSERT(runner.runUntil([&] { return peer.isOpen(); }));
+        for (const auto &message : *rc::gen::arbitrary<std::vector<std::string>>())
+            peer.send(message);
+        runner.runFor(Milliseconds(2));
+        right.ping(left, ++sequence);
+        RC_ASSERT(runner.runUntil([&] { return left.messages.size() == sequence; }));
+    });
+    REQUIRE(left.ups.size() == 1);
+    REQUIRE(left.downs.empty());
+}
