--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -22,11 +22,10 @@
 auto valueOrThrow(Operation &&operation)
 {
     using Value = decltype(operation().value());
-    return handleErrors(
-            [&]() -> Result<std::remove_reference_t<Value>> { return operation(); },
-            [](const Error &error) -> std::remove_reference_t<Value> {
-                throw std::runtime_error(error.message);
-            });
+    return handleErrors([&]() -> Result<std::remove_reference_t<Value>> { return operation(); },
+                        [](const Error &error) -> std::remove_reference_t<Value> {
+                            throw std::runtime_error(error.message);
+                        });
 }
 
 std::string lowerCase(std::string text)
@@ -68,8 +67,8 @@
            makeClass("lookup", "desk", 1, RepeatRule::Repeatable, "/stock"),
            makeClass("booking", "desk", 1, RepeatRule::Never, "/bookings") })
         configuration.classes[requestClass.name] = requestClass;
-    for (const auto &pool : { makePool("assistant", PoolKind::Engine),
-                              makePool("desk", PoolKind::Service) })
+    for (const auto &pool :
+         { makePool("assistant", PoolKind::Engine), makePool("desk", PoolKind::Service) })
         configuration.pools[pool.name] = pool;
     Team team;
     team.name = TeamName("sales");
@@ -80,11 +79,11 @@
 std::optional<PublishedDocument> identify(const std::string &value)
 {
     return handleErrors(
-            [&]() -> Result<std::optional<PublishedDocument>> {
-                BOOST_LEAF_AUTO(stored, parseConfigurationDocument(value));
-                return std::optional(PublishedDocument { stored.version, stored.publishId });
-            },
-            [](const Error &) -> std::optional<PublishedDocument> { return std::nullopt; });
+        [&]() -> Result<std::optional<PublishedDocument>> {
+            BOOST_LEAF_AUTO(stored, parseConfigurationDocument(value));
+            return std::optional(PublishedDocument { stored.version, stored.publishId });
+        },
+        [](const Error &) -> std::optional<PublishedDocument> { return std::nullopt; });
 }
 
 } // namespace
@@ -166,9 +165,9 @@
     static const std::string kListen = "[listen]\ncallers = \"127.0.0.1:0\"\n"
                                        "peers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n";
     const auto text = "router = \"" + name + "\"\nregion = \"test\"\n"
-            + "availability_zone = \"zone-1\"\npeer_key = \"0123456789abcdef0123456789abcdef\"\n"
-            + "store_addresses = [\"" + storeServer_->address().value() + "\"]\n"
-            + "hostlist_address = \"" + hostListServer_->address().value() + "\"\n" + kListen;
+        + "availability_zone = \"zone-1\"\npeer_key = \"0123456789abcdef0123456789abcdef\"\n"
+        + "store_addresses = [\"" + storeServer_->address().value() + "\"]\n"
+        + "hostlist_address = \"" + hostListServer_->address().value() + "\"\n" + kListen;
     auto settings = valueOrThrow([&] { return Settings::parse(text, "test.toml", {}); });
     settings.peerSeeds = seeds_;
     settings.shutdownDelay = Milliseconds(200);
@@ -332,7 +331,7 @@
     return runUntil([&] {
         return std::all_of(routers_.begin(), routers_.end(), [&](const auto &entry) {
             return entry.second->isReady() && entry.second->liveMemberCount() == routers_.size()
-                    && entry.second->backendServerCount() == backends_.size();
+                && entry.second->backendServerCount() == backends_.size();
         });
     });
 }
--- a/tests/daemon/testrouter.cpp
+++ b/tests/daemon/testrouter.cpp
@@ -18,8 +18,8 @@
 std::string chatBody(bool isStream, int tokens)
 {
     return R"({"model":"m","messages":[{"role":"user","content":"hello"}],"stream":)"
-            + std::string(isStream ? "true" : "false") + R"(,"max_tokens":)"
-            + std::to_string(tokens) + "}";
+        + std::string(isStream ? "true" : "false") + R"(,"max_tokens":)" + std::to_string(tokens)
+        + "}";
 }
 
 } // namespace
@@ -108,7 +108,7 @@
         THEN("the router forgets the request")
         {
             REQUIRE(fleet.runUntil(
-                    [&] { return fleet.metric("router-1", "crocusport_open_requests") == 0; }));
+                [&] { return fleet.metric("router-1", "crocusport_open_requests") == 0; }));
         }
     }
 }
@@ -130,7 +130,7 @@
         REQUIRE(fleet.runUntilEnded(first));
         REQUIRE(first->outcome() == "completed");
         REQUIRE(fleet.runUntil(
-                [&] { return fleet.metric("router-1", "crocusport_pending_claims") == 0; }));
+            [&] { return fleet.metric("router-1", "crocusport_pending_claims") == 0; }));
         const auto second = fleet.book("router-2", "key-1", "{}");
         REQUIRE(fleet.runUntilEnded(second));
 
@@ -176,7 +176,7 @@
         {
             fleet.fault(fleet.store(), R"({"kind":"clear"})");
             REQUIRE(fleet.runUntil(
-                    [&] { return fleet.metric("router-1", "crocusport_pending_claims") == 0; }));
+                [&] { return fleet.metric("router-1", "crocusport_pending_claims") == 0; }));
             const auto repeated = fleet.book("router-2", "key-3", "{}");
             REQUIRE(fleet.runUntilEnded(repeated));
 
@@ -192,7 +192,7 @@
     {
         const auto reply = fleet.book("router-1", "key-4", "{}");
         REQUIRE(fleet.runUntil(
-                [&] { return fleet.metric("router-1", "crocusport_pending_claims") == 1; }));
+            [&] { return fleet.metric("router-1", "crocusport_pending_claims") == 1; }));
         fleet.runFor(std::chrono::milliseconds(30));
         fleet.crash("service-1");
         REQUIRE(fleet.runUntilEnded(reply));
--- a/tests/tools/testkeyvaluestate.cpp
+++ b/tests/tools/testkeyvaluestate.cpp
@@ -1,5 +1,5 @@
 #include "standins/base64.h"
-#include "standins/ratelimiter.h"
+#include "standins/callratelimiter.h"
 #include "standins/storegateway.h"
 
 #include <catch2/catch.hpp>
@@ -120,7 +120,7 @@
     // Guards against measurements of a store without the platform's limit.
     GIVEN("a limit of 100 calls per second")
     {
-        RateLimiter limiter(100);
+        CallRateLimiter limiter(100);
         Instant now { std::chrono::seconds(1) };
         int accepted = 0;
         for (int call = 0; call < 2000; ++call, now += std::chrono::milliseconds(1))
--- a/tools/standins/ratelimiter.cpp
+++ b/tools/standins/callratelimiter.cpp
@@ -1,4 +1,4 @@
-#include "ratelimiter.h"
+#include "callratelimiter.h"
 
 #include <algorithm>
 
@@ -10,11 +10,11 @@
 
 } // namespace
 
-RateLimiter::RateLimiter(double perSecond)
+CallRateLimiter::CallRateLimiter(double perSecond)
     : perSecond_(perSecond), available_(std::max(1.0, perSecond * kBurstSeconds))
 { }
 
-bool RateLimiter::take(Instant now)
+bool CallRateLimiter::take(Instant now)
 {
     if (perSecond_ <= 0)
         return true;
--- a/tools/standins/ratelimiter.h
+++ b/tools/standins/callratelimiter.h
@@ -1,5 +1,5 @@
-#ifndef CROCUSPORT_RATELIMITER_H
-#define CROCUSPORT_RATELIMITER_H
+#ifndef CROCUSPORT_CALLRATELIMITER_H
+#define CROCUSPORT_CALLRATELIMITER_H
 
 #include "crocusport/state/instant.h"
 
@@ -10,11 +10,11 @@
 
     Thread safety: none; use from one thread.
 */
-class RateLimiter
+class CallRateLimiter
 {
 public:
     //! A rate of 0 means no limit.
-    explicit RateLimiter(double perSecond);
+    explicit CallRateLimiter(double perSecond);
 
     //! Returns whether one more call is within the rate, and counts it then.
     bool take(Instant now);
@@ -27,4 +27,4 @@
 
 } // namespace crocusport
 
-#endif // CROCUSPORT_RATELIMITER_H
+#endif // CROCUSPORT_CALLRATELIMITER_H
--- a/tools/standins/storeservice.h
+++ b/tools/standins/storeservice.h
@@ -1,8 +1,8 @@
 #ifndef CROCUSPORT_STORESERVICE_H
 #define CROCUSPORT_STORESERVICE_H
 
+#include "callratelimiter.h"
 #include "crocusport/transport/timer.h"
-#include "ratelimiter.h"
 #include "standinserver.h"
 #include "storegateway.h"
 
@@ -52,8 +52,8 @@
     StandinServer &server_;
     StoreServiceOptions options_;
     StoreGateway gateway_;
-    RateLimiter writes_;
-    RateLimiter reads_;
+    CallRateLimiter writes_;
+    CallRateLimiter reads_;
     std::map<std::string, std::uint64_t> counts_;
     std::vector<std::unique_ptr<Watch>> watches_;
     Timer leaseTimer_;
