SlotBroker: Recover slots of an idle pool in time

Cause: a holder whose pool had been idle took the idle time for a pause of its own and extended the lease of new entries by it, so a slot whose release was lost stayed in use for longer than 40 s. Found by the cluster property (1 slot of 0 counted, in one of 9000 histories). Also, a new holder now counts a request of its own that the previous holder granted late. Excluded: dropping the extension, since a woken holder would forget all running requests.

--- a/src/coordination/heldpool.cpp
+++ b/src/coordination/heldpool.cpp
@@ -120,7 +120,7 @@
     checkedAt_ = now;
     for (auto it = entries_.begin(); it != entries_.end();) {
         Entry &entry = it->second;
-        entry.heardAt += pause;
+        entry.heardAt = std::min(entry.heardAt + pause, now);
         if (entry.router == self_ || now - entry.heardAt < kEntryLease) {
             ++it;
             continue;
--- a/src/coordination/slotbrokerprivate.cpp
+++ b/src/coordination/slotbrokerprivate.cpp
@@ -153,7 +153,9 @@
         fallback->second.addRunning(own.request, now);
     }
     // A holder that did not decide this must count the slot.
-    if (own.holder != self && own.holder != from)
+    if (own.holder == self && from != self)
+        heldPool(own.request.pool, now).submit(own.request, now);
+    else if (own.holder != from)
         askRemote(own, now);
     requests.setTimer(own, own.holder == self ? std::nullopt : std::optional(now + kRunningRepeat));
     output.grants.push_back(grant);
