Membership: Try seeds that are not known members

Cause: a router that started while its seeds were down never found another one, and two sides of a partition longer than the 10 minutes for which dead members are remembered never rejoined. setSeeds() takes the addresses; they are tried every minute, or every second by a router that is alone. Found by the cluster property (all routers killed, then started).

--- a/include/crocusport/coordination/membership.h
+++ b/include/crocusport/coordination/membership.h
@@ -40,6 +40,9 @@
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
 
+    //! Sets addresses at which routers are expected. Those without a known member are tried every
+    //! minute, or every second while this router knows no other one.
+    void setSeeds(std::vector<SocketAddress> seeds);
     //! Learns of a router that has proved its identity on a link.
     void addPeer(const MemberInfo &peer, Instant now);
     //! Handles Ping, Ack, PingRequest and PingReply; ignores others.
@@ -62,7 +65,7 @@
     bool takeMembersChanged();
     //! Links that did not acknowledge three pings in succession and should be replaced.
     std::vector<RouterName> takeStaleLinks();
-    //! Addresses of dead members that are due to be tried again.
+    //! Addresses of dead members and of seeds that are due to be tried.
     std::vector<SocketAddress> takeAddressesToTry(Instant now);
 
     //! Alive and suspect members with this router unless it is leaving, sorted by name.
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -21,6 +21,8 @@
 //! Members pinged at once when a newer configuration is adopted, so that it spreads in
 //! log(n)/log(4) message delays instead of ping intervals.
 constexpr std::size_t kAnnouncePings = 4;
+//! Interval at which seeds are tried by a router that knows no other one.
+constexpr Duration kRetrySeedsAlone = std::chrono::seconds(1);
 //! A gap between ticks from which this router counts as having been paused.
 constexpr int kPauseIntervals = 3;
 
@@ -249,6 +251,8 @@
     std::vector<OutgoingMessage> outgoing;
     std::vector<Observation> received;
     std::vector<RouterName> staleLinks;
+    std::vector<SocketAddress> seeds;
+    std::optional<Instant> triedSeedsAt;
 };
 
 Membership::Membership(const MemberInfo &self, const MembershipPolicy &policy, std::uint64_t seed)
@@ -365,7 +369,25 @@
 
 std::vector<SocketAddress> Membership::takeAddressesToTry(Instant now)
 {
-    return d_->table.takeAddressesToTry(now);
+    auto due = d_->table.takeAddressesToTry(now);
+    const auto interval = d_->notDead().empty() ? kRetrySeedsAlone : d_->policy.retryDead;
+    if (d_->triedSeedsAt && now - *d_->triedSeedsAt < interval)
+        return due;
+    d_->triedSeedsAt = now;
+    for (const auto &seed : d_->seeds) {
+        const auto &members = d_->table.members();
+        const bool isKnown = std::any_of(members.begin(), members.end(), [&](const auto &entry) {
+            return entry.second.info.address == seed;
+        });
+        if (!isKnown && seed != self().address)
+            due.push_back(seed);
+    }
+    return due;
+}
+
+void Membership::setSeeds(std::vector<SocketAddress> seeds)
+{
+    d_->seeds = std::move(seeds);
 }
 
 std::vector<RouterName> Membership::liveMembers() const
