ConfigurationReplica: Add adoption, readiness and requests to peers

The peer that announced a version last is asked first; when it does not deliver within 500 ms, the next one is asked. Readiness does not end when a newer version is published.

--- /dev/null
+++ b/src/coordination/configurationreplica.cpp
@@ -0,0 +1,112 @@
+#include "crocusport/coordination/configurationreplica.h"
+
+#include "crocusport/coordination/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+constexpr std::size_t kStoreWatchers = 3;
+//! Time for a peer to send a document of up to 1 MiB before another one is asked.
+constexpr Duration kAskTimeout = std::chrono::milliseconds(500);
+//! Time that live members have to tell their version before a first configuration that came from a
+//! peer counts as new enough without them.
+constexpr Duration kAnswerTime = std::chrono::seconds(1);
+
+} // namespace
+
+ConfigurationReplica::ConfigurationReplica(const RouterName &self) : self_(self) { }
+
+bool ConfigurationReplica::adopt(std::shared_ptr<const Configuration> configuration,
+                                 std::string document, ConfigurationSource source)
+{
+    if (!configuration || !wants(configuration->version))
+        return false;
+    version_ = configuration->version;
+    configuration_ = std::move(configuration);
+    document_ = std::move(document);
+    asked_.reset();
+    if (source == ConfigurationSource::Store && newestHeard() <= version_)
+        isReady_ = true;
+    return true;
+}
+
+void ConfigurationReplica::hear(const RouterName &peer, ConfigurationVersion version)
+{
+    if (peer == self_)
+        return;
+    if (version > newestHeard() || (version == newestHeard() && version > heard_[peer]))
+        announcer_ = peer;
+    auto &known = heard_[peer];
+    known = std::max(known, version);
+}
+
+void ConfigurationReplica::setMembers(const std::vector<RouterName> &liveMembers)
+{
+    others_ = liveMembers;
+    std::erase(others_, self_);
+    const auto watchers = rendezvousOrder("store-watch", liveMembers, kStoreWatchers);
+    isStoreWatcher_ =
+        liveMembers.empty() || std::find(watchers.begin(), watchers.end(), self_) != watchers.end();
+    std::erase_if(heard_, [&](const auto &entry) {
+        return std::find(others_.begin(), others_.end(), entry.first) == others_.end();
+    });
+}
+
+ConfigurationVersion ConfigurationReplica::newestHeard() const
+{
+    ConfigurationVersion newest;
+    for (const auto &[peer, version] : heard_)
+        newest = std::max(newest, version);
+    return newest;
+}
+
+void ConfigurationReplica::updateReadiness(Instant now)
+{
+    if (isReady_ || !configuration_ || newestHeard() > version_)
+        return;
+    if (!hadConfigurationAt_)
+        hadConfigurationAt_ = now;
+    const bool haveAllAnswered = std::all_of(
+        others_.begin(), others_.end(), [&](const auto &peer) { return heard_.count(peer) > 0; });
+    isReady_ = haveAllAnswered || now - *hadConfigurationAt_ >= kAnswerTime;
+}
+
+std::vector<OutgoingMessage> ConfigurationReplica::tick(Instant now)
+{
+    updateReadiness(now);
+    const auto newest = newestHeard();
+    if (newest <= version_ || (asked_ && now - *askedAt_ < kAskTimeout))
+        return {};
+    // The peer that announced the version last has served the fewest others. When it does not
+    // deliver, the next one in the order of names is asked.
+    std::vector<RouterName> candidates;
+    for (const auto &[peer, version] : heard_) {
+        if (version > version_)
+            candidates.push_back(peer);
+    }
+    if (!asked_) {
+        const bool isUsable =
+            announcer_ && heard_.count(*announcer_) > 0 && heard_[*announcer_] == newest;
+        asked_ = isUsable ? *announcer_ : candidates.front();
+    } else {
+        const auto next = std::upper_bound(candidates.begin(), candidates.end(), *asked_);
+        asked_ = next == candidates.end() ? candidates.front() : *next;
+    }
+    askedAt_ = now;
+    return { { *asked_, ConfigurationRequestMessage { version_ } } };
+}
+
+std::optional<OutgoingMessage>
+ConfigurationReplica::answer(const RouterName &from,
+                             const ConfigurationRequestMessage &request) const
+{
+    if (request.haveVersion >= version_)
+        return std::nullopt;
+    return OutgoingMessage { from, ConfigurationMessage { version_, document_ } };
+}
+
+} // namespace crocusport
