--- a/src/daemon/operatorcommand.cpp
+++ b/src/daemon/operatorcommand.cpp
@@ -118,13 +118,14 @@
 
 Result<std::string> settingsCommand(const OperatorArguments &arguments)
 {
-    if (arguments.isJson)
-        return nlohmann::json({ { "markdown", Settings::reference() } }).dump() + "\n";
-    return "# Settings of crocusportd\n\n"
-           "This page is the output of `crocusport settings`. A settings file is TOML; a dotted "
-           "key such as\n`listen.peers` may also be written as `peers` below `[listen]`. Keys "
-           "that are not listed are errors.\n\n"
+    std::string text = "# Settings of crocusportd\n\n"
+                       "This page is the output of `crocusport settings`. A settings file is TOML; "
+                       "a dotted key such as\n`listen.peers` may also be written as `peers` below "
+                       "`[listen]`. Keys that are not listed are errors.\n\n"
         + Settings::reference();
+    if (arguments.ofClassFiles)
+        text = classFileReference();
+    return arguments.isJson ? nlohmann::json({ { "markdown", text } }).dump() + "\n" : text;
 }
 
 } // namespace crocusport
--- a/src/daemon/operatorcommand.h
+++ b/src/daemon/operatorcommand.h
@@ -12,6 +12,7 @@
 struct OperatorArguments
 {
     bool isJson = false;
+    bool ofClassFiles = false;
     std::string directory;
     std::vector<std::string> store;
     std::string router;
--- a/src/daemon/operatortool.cpp
+++ b/src/daemon/operatortool.cpp
@@ -59,7 +59,9 @@
         addRouter(*add(app_, "status", "Show what a router knows", statusCommand))->required();
         addExplain();
         addConfiguration();
-        add(app_, "settings", "Print the reference of crocusportd's settings", settingsCommand);
+        add(app_, "settings", "Print the reference of crocusportd's settings", settingsCommand)
+            ->add_flag("--class-files", arguments_.ofClassFiles,
+                       "Print that of class files and pool files instead");
     }
 
     CLI::App &app() { return app_; }
