--- a/tests/tools/testload.cpp
+++ b/tests/tools/testload.cpp
@@ -2,6 +2,7 @@
 #include "load/answercheck.h"
 #include "load/arrivalschedule.h"
 #include "load/classstatistics.h"
+#include "load/comparison.h"
 #include "load/eventstreamreader.h"
 #include "load/mix.h"
 #include "load/outputlength.h"
@@ -249,3 +250,44 @@
         REQUIRE(isRejected);
     }
 }
+
+SCENARIO("Reports of several runs are put side by side")
+{
+    const auto report = [](const std::string &policy, double attainment, std::uint64_t bad) {
+        return nlohmann::json {
+            { "labels", { { "scenario", "crest" }, { "policy", policy } } },
+            { "total",
+              { { "goodput_per_s", 10 },
+                { "useful_tokens", 75 },
+                { "attainment_of_smaller_teams", 1 },
+                { "bad_answers", bad } } },
+            { "truth",
+              { { "duplicate_bookings", 1 },
+                { "told_not_run_but_run", 0 },
+                { "completed_bookings_not_run", 0 } } },
+            { "engines", { { "engine_tokens_generated_total", 100 } } },
+            { "classes",
+              { { { "name", "chat" },
+                  { "attainment", attainment },
+                  { "attainment_at_peak", attainment },
+                  { "is_urgent_stream", true },
+                  { "wait_p99_ms", 5 },
+                  { "first_token_ms", { { "p99", 9 } } } } } },
+        };
+    };
+    const Comparison comparison(
+        { report("holder", 1, 0), report("local", 0.5, 0), report("holder", 0.8, 2) });
+
+    // Guards against faults of one run that a mean over the seeds hides.
+    THEN("attainment is the mean over the runs of a policy, faults are added up")
+    {
+        const auto &rows = comparison.rows();
+        REQUIRE(rows.size() == 2);
+        REQUIRE(rows[0]["policy"] == "holder");
+        REQUIRE(rows[0]["runs"] == 2);
+        REQUIRE(rows[0]["classes"][0]["attainment"].get<double>() == Approx(0.9));
+        REQUIRE(rows[0]["bad_answers"] == 2);
+        REQUIRE(rows[0]["false_outcomes"] == 2);
+        REQUIRE(rows[0]["wasted_share"].get<double>() == Approx(0.25));
+    }
+}
--- a/tools/load/classstatistics.cpp
+++ b/tools/load/classstatistics.cpp
@@ -49,6 +49,7 @@
 void ClassStatistics::addSent(const RequestPlan &plan)
 {
     ++sent_;
+    ++teams_[plan.team].sent;
     if (plan.isAtPeak)
         ++sentAtPeak_;
 }
@@ -76,6 +77,8 @@
     if (record.result == RequestResult::Completed) {
         incomplete_ += record.verdict == AnswerVerdict::Incomplete ? 1 : 0;
         wrong_ += record.verdict == AnswerVerdict::Wrong ? 1 : 0;
+        if (record.verdict == AnswerVerdict::Whole)
+            usefulTokens_ += record.tokens;
         answerMs_.push_back(toMs(record.answer));
         if (class_.isStreamed)
             firstTokenMs_.push_back(toMs(record.firstToken));
@@ -83,6 +86,7 @@
     if (!isTargetMet(record))
         return;
     ++met_;
+    ++teams_[plan.team].met;
     metTokens_ += record.tokens;
     if (plan.isAtPeak)
         ++metAtPeak_;
@@ -98,6 +102,9 @@
     nlohmann::json results = nlohmann::json::object();
     for (std::size_t index = 0; index < results_.size(); ++index)
         results[std::string(kResultNames.at(index))] = results_.at(index);
+    nlohmann::json teams = nlohmann::json::object();
+    for (const auto &[team, counts] : teams_)
+        teams[team] = { { "sent", counts.sent }, { "met", counts.met } };
     const auto seconds = toSeconds(length);
     const auto &waits = class_.isStreamed ? firstTokenMs_ : answerMs_;
     return {
@@ -116,6 +123,8 @@
         { "wait_p99_ms", quantile(waits, 0.99) - quantile(waits, 0) },
         { "results", std::move(results) },
         { "codes", codes_ },
+        { "teams", std::move(teams) },
+        { "is_urgent_stream", class_.isStreamed && class_.firstTokenTarget.has_value() },
         { "retries", retries_ },
         { "incomplete", incomplete_ },
         { "wrong", wrong_ },
--- a/tools/load/classstatistics.h
+++ b/tools/load/classstatistics.h
@@ -52,6 +52,15 @@
     std::uint64_t badAnswers() const;
     std::uint64_t sent() const { return sent_; }
     std::uint64_t met() const { return met_; }
+    //! Tokens of whole answers, whether in time or not.
+    std::uint64_t usefulTokens() const { return usefulTokens_; }
+
+    struct TeamCounts
+    {
+        std::uint64_t sent = 0;
+        std::uint64_t met = 0;
+    };
+    const std::map<std::string, TeamCounts> &teams() const { return teams_; }
     const LoadClass &loadClass() const { return class_; }
 
     nlohmann::json toJson(Duration length) const;
@@ -70,11 +79,13 @@
     std::uint64_t retries_ = 0;
     std::uint64_t tokens_ = 0;
     std::uint64_t metTokens_ = 0;
+    std::uint64_t usefulTokens_ = 0;
     std::uint64_t incomplete_ = 0;
     std::uint64_t wrong_ = 0;
     std::uint64_t foreign_ = 0;
     std::array<std::uint64_t, 7> results_ {};
     std::map<std::string, std::uint64_t> codes_;
+    std::map<std::string, TeamCounts> teams_;
     std::vector<float> firstTokenMs_; //!< Of completed requests.
     std::vector<float> answerMs_;     //!< Of completed requests.
 };
--- a/tools/load/loadgenerator.h
+++ b/tools/load/loadgenerator.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -30,6 +31,7 @@
     std::size_t connections = 0;
     bool isSaturating = false; //!< Closed loop: each caller sends when it has an answer.
     std::string runName = "run";
+    std::map<std::string, std::string> labels; //!< Copied to the report.
 };
 
 /*!
--- a/tools/load/loadreport.cpp
+++ b/tools/load/loadreport.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <map>
 #include <sstream>
 #include <string>
 
@@ -39,6 +40,29 @@
         + fixed(quantiles["p99"], 0);
 }
 
+//! Attainment of all teams but the one that sent the most requests.
+double attainmentOfSmallerTeams(const LoadGenerator &generator)
+{
+    std::map<std::string, ClassStatistics::TeamCounts> teams;
+    ClassStatistics::TeamCounts all;
+    for (const auto &statistics : generator.statistics()) {
+        for (const auto &[team, counts] : statistics->teams()) {
+            teams[team].sent += counts.sent;
+            teams[team].met += counts.met;
+            all.sent += counts.sent;
+            all.met += counts.met;
+        }
+    }
+    const auto largest =
+        std::max_element(teams.begin(), teams.end(), [](const auto &left, const auto &right) {
+            return left.second.sent < right.second.sent;
+        });
+    if (largest == teams.end() || all.sent == largest->second.sent)
+        return 1;
+    return static_cast<double>(all.met - largest->second.met)
+        / static_cast<double>(all.sent - largest->second.sent);
+}
+
 } // namespace
 
 LoadReport::LoadReport(const LoadGenerator &generator, const BackendTruth &truth,
@@ -47,15 +71,18 @@
     std::uint64_t sent = 0;
     std::uint64_t met = 0;
     std::uint64_t badAnswers = 0;
+    std::uint64_t usefulTokens = 0;
     report_["classes"] = json::array();
     for (const auto &statistics : generator.statistics()) {
         sent += statistics->sent();
         met += statistics->met();
         badAnswers += statistics->badAnswers();
+        usefulTokens += statistics->usefulTokens();
         report_["classes"].push_back(statistics->toJson(options.length));
     }
     const auto seconds = toSeconds(options.length);
     const auto &lateness = generator.latenessMs();
+    report_["labels"] = options.labels;
     report_["seed"] = options.seed;
     report_["duration_s"] = seconds;
     report_["total"] = {
@@ -65,6 +92,8 @@
         { "sent_per_s", static_cast<double>(sent) / seconds },
         { "goodput_per_s", static_cast<double>(met) / seconds },
         { "bad_answers", badAnswers },
+        { "useful_tokens", usefulTokens },
+        { "attainment_of_smaller_teams", attainmentOfSmallerTeams(generator) },
     };
     report_["generator"] = {
         { "elapsed_s", toSeconds(elapsed) },
--- a/tools/load/requestplan.cpp
+++ b/tools/load/requestplan.cpp
@@ -49,13 +49,13 @@
 RequestPlan RequestFactory::make()
 {
     RequestPlan plan;
-    const auto &team = class_.teams[teams_(random_)].first;
+    plan.team = class_.teams[teams_(random_)].first;
     plan.marker = runName_ + '-' + class_.name + '-' + std::to_string(++count_);
     plan.hash = markerHash(plan.marker);
     plan.method = class_.kind == LoadKind::Lookup ? "GET" : "POST";
     plan.target = class_.path;
-    plan.headers = { { "X-Class", class_.name }, { "X-Team", team } };
-    if (const auto found = mix_.credentials.find(team); found != mix_.credentials.end())
+    plan.headers = { { "X-Class", class_.name }, { "X-Team", plan.team } };
+    if (const auto found = mix_.credentials.find(plan.team); found != mix_.credentials.end())
         plan.headers.emplace_back("Authorization", "Bearer " + found->second);
     if (class_.hasIdempotencyKey)
         plan.headers.emplace_back("Idempotency-Key", "key-" + plan.marker);
@@ -65,17 +65,17 @@
     }
     plan.headers.emplace_back("Content-Type", "application/json");
     if (class_.kind == LoadKind::Booking) {
-        plan.body = nlohmann::json({ { "marker", plan.marker }, { "team", team } }).dump();
+        plan.body = nlohmann::json({ { "marker", plan.marker }, { "team", plan.team } }).dump();
         return plan;
     }
     plan.tokens = OutputLength(class_.output).draw(random_);
-    plan.body = chatBody(plan, team);
+    plan.body = chatBody(plan);
     return plan;
 }
 
-std::string RequestFactory::chatBody(const RequestPlan &plan, const std::string &team)
+std::string RequestFactory::chatBody(const RequestPlan &plan)
 {
-    auto prompt = repeated("Instructions for " + class_.name + " of " + team + ". ",
+    auto prompt = repeated("Instructions for " + class_.name + " of " + plan.team + ". ",
                            class_.sharedPrefixBytes);
     prompt += " marker:" + plan.marker + ' ';
     if (prompt.size() < class_.promptBytes)
--- a/tools/load/requestplan.h
+++ b/tools/load/requestplan.h
@@ -14,6 +14,7 @@
 struct RequestPlan
 {
     std::string marker;
+    std::string team;
     std::string hash; //!< Stands for the marker in the answer.
     std::string target;
     std::string method;
@@ -38,7 +39,7 @@
     RequestPlan make();
 
 private:
-    std::string chatBody(const RequestPlan &plan, const std::string &team);
+    std::string chatBody(const RequestPlan &plan);
 
     const LoadClass &class_;
     const Mix &mix_;
