PeerControl: Drop the unset handler for newer configurations

ConfigurationReplica asks the peer by itself, so the handler is removed. The tests' runUntil() also entered the event loop twice when its condition ran the loop, and timed out; it now evaluates the condition outside.

--- a/src/daemon/peercontrol.cpp
+++ b/src/daemon/peercontrol.cpp
@@ -112,8 +112,6 @@
         handlers_.onObservation(observation);
     if (membership_->takeMembersChanged())
         handlers_.onMembersChanged(membership_->liveMembers());
-    if (const auto peer = membership_->peerWithNewerConfiguration())
-        handlers_.onNewerConfiguration(*peer);
 }
 
 void PeerControl::connectToSeeds()
--- a/src/daemon/peercontrol.h
+++ b/src/daemon/peercontrol.h
@@ -26,8 +26,6 @@
         std::function<void(const RouterName &from, const PeerMessage &message)> onMessage;
         std::function<void(const std::vector<RouterName> &live)> onMembersChanged;
         std::function<void(const Observation &observation)> onObservation;
-        //! A peer has a newer configuration than this router.
-        std::function<void(const RouterName &peer)> onNewerConfiguration;
     };
 
     static Result<std::unique_ptr<PeerControl>> create(EventLoop &loop,
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 const SocketAddress kAnyPort { "127.0.0.1:0" };
+constexpr Duration kConditionInterval = std::chrono::milliseconds(1);
 
 template<typename Operation>
 auto valueOrThrow(Operation &&operation)
@@ -301,24 +302,21 @@
 
 bool Fleet::runUntil(const std::function<bool()> &condition, Duration limit)
 {
-    if (condition())
-        return true;
-    bool isMet = false;
-    Timer check(*loop_, [&] {
-        isMet = condition();
-        if (isMet)
-            loop_->stop();
-    });
-    Timer timeout(*loop_, [&] { loop_->stop(); });
-    check.startPeriodic(std::chrono::milliseconds(1));
-    timeout.startOnce(limit);
-    loop_->run();
-    return isMet;
+    // The condition may itself run the loop, which must not be entered twice.
+    const auto end = monotonicNow() + limit;
+    while (!condition()) {
+        if (monotonicNow() >= end)
+            return false;
+        runFor(kConditionInterval);
+    }
+    return true;
 }
 
 void Fleet::runFor(Duration duration)
 {
-    runUntil([] { return false; }, duration);
+    Timer timeout(*loop_, [this] { loop_->stop(); });
+    timeout.startOnce(duration);
+    loop_->run();
 }
 
 bool Fleet::runUntilEnded(const CallerReplyPointer &reply)
