PoolScheduler: Correct placement ties, slow factors and refusals

Latency is now relative to the class's median. An excluded server is probed until its factor is below 2; between 2 and 4 it was neither chosen nor probed at low load. - A full queue refused the newest request, also when one team had filled the queue. Now the team with the most requests loses its last one. - Tier-1 requests that run beyond a server's slots, or on a leaving one, counted as if they delayed others, so that tier-1 requests were refused although slots were free of tier 1. - A request could be refused by the first review after it was accepted, because the estimate falls in steps. Reviews now allow one service time of slack.

--- a/src/state/backendservertable.cpp
+++ b/src/state/backendservertable.cpp
@@ -12,11 +12,38 @@
 constexpr Duration kProbeInterval = std::chrono::seconds(1);
 //! A slow factor above this excludes a server.
 constexpr double kExclusionFactor = 4;
+//! An excluded server is probed until its factor is below this. Without the difference, a server
+//! that is just below the limit would neither be chosen nor probed while the load is low.
+constexpr double kReadmissionFactor = 2;
 //! How long evidence about a server outlives its entry in the host list, which lags.
 constexpr Duration kForgetAfter = std::chrono::minutes(10);
 
 } // namespace
 
+BackendServerTable::Contribution &
+BackendServerTable::Contribution::operator+=(const Contribution &other)
+{
+    slots += other.slots;
+    longSlots += other.longSlots;
+    freeSlots += other.freeSlots;
+    urgentRoom += other.urgentRoom;
+    urgentLongRoom += other.urgentLongRoom;
+    present += other.present;
+    return *this;
+}
+
+BackendServerTable::Contribution &
+BackendServerTable::Contribution::operator-=(const Contribution &other)
+{
+    slots -= other.slots;
+    longSlots -= other.longSlots;
+    freeSlots -= other.freeSlots;
+    urgentRoom -= other.urgentRoom;
+    urgentLongRoom -= other.urgentLongRoom;
+    present -= other.present;
+    return *this;
+}
+
 void BackendServerTable::setLongShare(double longShare)
 {
     longShare_ = longShare;
@@ -86,8 +113,8 @@
 bool BackendServerTable::setBackendServers(const std::vector<BackendServer> &servers, Instant now)
 {
     now_ = std::max(now_, now);
-    const auto presentBefore = presentCount_;
-    const auto slotsBefore = slots_;
+    const auto presentBefore = sums_.present;
+    const auto slotsBefore = sums_.slots;
     for (auto &entry : entries_) {
         if (entry.listed)
             entry.delistedAt = now_;
@@ -98,7 +125,7 @@
     for (std::uint32_t i = 0; i < entries_.size(); ++i)
         refresh(ServerIndex(i));
     removeForgotten(now_);
-    return presentCount_ < presentBefore || slots_ < slotsBefore;
+    return sums_.present < presentBefore || sums_.slots < slotsBefore;
 }
 
 void BackendServerTable::removeForgotten(Instant now)
@@ -144,6 +171,8 @@
     ++entry.running;
     entry.longRunning += record.isLong() ? 1 : 0;
     entry.markedRunning += record.marked ? 1 : 0;
+    entry.urgentRunning += record.isUrgent() ? 1 : 0;
+    entry.urgentLongRunning += record.isUrgent() && record.isLong() ? 1 : 0;
     refresh(record.server);
 }
 
@@ -154,6 +183,8 @@
     --entry.running;
     entry.longRunning -= record.isLong() ? 1 : 0;
     entry.markedRunning -= record.marked ? 1 : 0;
+    entry.urgentRunning -= record.isUrgent() ? 1 : 0;
+    entry.urgentLongRunning -= record.isUrgent() && record.isLong() ? 1 : 0;
     refresh(record.server);
 }
 
@@ -170,7 +201,7 @@
 {
     auto &entry = entries_[index.value()];
     entry.slowFactor = factor;
-    const bool slow = factor > kExclusionFactor;
+    const bool slow = factor > (entry.slow ? kReadmissionFactor : kExclusionFactor);
     if (slow == entry.slow)
         return;
     entry.slow = slow;
@@ -213,23 +244,24 @@
     return next;
 }
 
-void BackendServerTable::refreshSums(ServerIndex index, bool usable)
+BackendServerTable::Contribution BackendServerTable::contributionOf(const BackendServerEntry &entry,
+                                                                    bool usable) const
 {
-    const auto &entry = at(index);
-    auto &old = contributions_[index.value()];
     Contribution current;
     current.present = entry.listed && !entry.leaving ? 1 : 0;
-    if (usable) {
-        current.slots = entry.server.slots;
-        current.longSlots = std::min(entry.server.slots, longCapacity(entry));
-        const bool full = entry.running >= entry.server.slots;
-        current.freeSlots = full || entry.slow ? 0 : entry.server.slots - entry.running;
-    }
-    slots_ += current.slots - old.slots;
-    longSlots_ += current.longSlots - old.longSlots;
-    freeSlots_ += current.freeSlots - old.freeSlots;
-    presentCount_ += current.present - old.present;
-    old = current;
+    if (!usable)
+        return current;
+    const auto slots = entry.server.slots;
+    const auto room = [](std::uint32_t all, std::uint32_t used) {
+        return all > used ? all - used : 0;
+    };
+    current.slots = slots;
+    current.longSlots = std::min(slots, longCapacity(entry));
+    current.freeSlots = entry.slow ? 0 : room(slots, entry.running);
+    current.urgentRoom = room(slots, entry.urgentRunning);
+    current.urgentLongRoom =
+        std::min(current.urgentRoom, room(current.longSlots, entry.urgentLongRunning));
+    return current;
 }
 
 void BackendServerTable::refresh(ServerIndex index)
@@ -243,7 +275,10 @@
     openLong_.set(index, hasLongSlot && !entry.slow);
     probesShort_.set(index, hasSlot && probe);
     probesLong_.set(index, hasLongSlot && probe);
-    refreshSums(index, usable);
+    auto &contribution = contributions_[index.value()];
+    sums_ -= contribution;
+    contribution = contributionOf(entry, usable);
+    sums_ += contribution;
 }
 
 const IndexSet &BackendServerTable::open(RequestLength length) const
--- a/src/state/backendservertable.h
+++ b/src/state/backendservertable.h
@@ -32,6 +32,8 @@
     std::uint32_t running = 0;
     std::uint32_t longRunning = 0;
     std::uint32_t markedRunning = 0;
+    std::uint32_t urgentRunning = 0;     //!< Of tier 1.
+    std::uint32_t urgentLongRunning = 0; //!< Of tier 1 and long.
 
     bool usable(Instant now) const { return listed && !leaving && unavailableUntil <= now; }
 };
@@ -75,12 +77,16 @@
     const IndexSet &open(RequestLength length) const;
     //! Slow servers that may take one probe request of \a length.
     const IndexSet &probes(RequestLength length) const;
-    std::uint32_t slots() const { return slots_; }
-    std::uint32_t longSlots() const { return longSlots_; }
-    std::uint32_t freeSlots() const { return freeSlots_; }
+    std::uint32_t slots() const { return sums_.slots; }
+    std::uint32_t longSlots() const { return sums_.longSlots; }
+    std::uint32_t freeSlots() const { return sums_.freeSlots; }
+    //! Slots that would be free if no lower tier ran.
+    std::uint32_t urgentRoom() const { return sums_.urgentRoom; }
+    //! Of these, the ones open to long requests.
+    std::uint32_t urgentLongRoom() const { return sums_.urgentLongRoom; }
     std::uint32_t longCapacity(const BackendServerEntry &entry) const;
     //! Number of servers that are listed and not leaving, whether available or not.
-    std::uint32_t presentCount() const { return presentCount_; }
+    std::uint32_t presentCount() const { return sums_.present; }
     bool isPresent(const BackendServerName &name) const;
     const std::vector<BackendServerEntry> &entries() const { return entries_; }
     ZoneIndex zoneOf(const AvailabilityZone &zone) { return zones_.indexOf(zone); }
@@ -92,14 +98,19 @@
         std::uint32_t slots = 0;
         std::uint32_t longSlots = 0;
         std::uint32_t freeSlots = 0;
+        std::uint32_t urgentRoom = 0;
+        std::uint32_t urgentLongRoom = 0;
         std::uint32_t present = 0;
+
+        Contribution &operator+=(const Contribution &other);
+        Contribution &operator-=(const Contribution &other);
     };
     using Wakeup = std::pair<Instant, std::uint32_t>;
 
     void update(BackendServerEntry &entry, const BackendServer &listed);
     void applyEvidence(BackendServerEntry &entry, StartNumber start);
     void refresh(ServerIndex index);
-    void refreshSums(ServerIndex index, bool usable);
+    Contribution contributionOf(const BackendServerEntry &entry, bool usable) const;
     void removeForgotten(Instant now);
 
     std::vector<BackendServerEntry> entries_;
@@ -114,10 +125,7 @@
     std::priority_queue<Wakeup, std::vector<Wakeup>, std::greater<>> wakeups_;
     Instant now_ {};
     double longShare_ = 0.5;
-    std::uint32_t slots_ = 0;
-    std::uint32_t longSlots_ = 0;
-    std::uint32_t freeSlots_ = 0;
-    std::uint32_t presentCount_ = 0;
+    Contribution sums_;
 };
 
 } // namespace crocusport
--- a/src/state/fairqueue.cpp
+++ b/src/state/fairqueue.cpp
@@ -195,6 +195,16 @@
     return team == nullptr ? nullptr : team->front(filter);
 }
 
+RequestRecord *FairQueue::last(TeamIndex team)
+{
+    RequestRecord *last = nullptr;
+    for (auto &lane : teamQueue(team).lanes) {
+        if (!lane.empty() && (last == nullptr || EarlierStart {}(*last, *lane.rbegin())))
+            last = &*lane.rbegin();
+    }
+    return last;
+}
+
 Duration FairQueue::workAheadInTeam(const RequestRecord &record, Duration teamWork) const
 {
     const auto &lane = teams_[record.team.value()]->lanes[laneOf(record)];
--- a/src/state/fairqueue.h
+++ b/src/state/fairqueue.h
@@ -45,6 +45,8 @@
 
     //! Returns the request that comes first among those that pass \a filter, or nullptr.
     RequestRecord *front(LaneFilter filter);
+    //! Returns the request of \a team with the latest start, or nullptr.
+    RequestRecord *last(TeamIndex team);
     std::size_t size() const { return size_; }
 
     /*!
--- a/src/state/latencytracker.cpp
+++ b/src/state/latencytracker.cpp
@@ -6,7 +6,11 @@
 
 namespace {
 
-constexpr double kWeight = 0.1;
+//! Weight of a new value; ten probes then suffice to see that a server has recovered.
+constexpr double kWeight = 0.2;
+//! Relative step of a class's median for each value, at last and for the first one.
+constexpr double kMedianStep = 0.01;
+constexpr double kFirstMedianStep = 0.5;
 //! Fewer values than this do not exclude a server.
 constexpr std::uint32_t kMinSamples = 8;
 //! Reported at most for a server with fewer values; the limit of exclusion itself.
@@ -21,7 +25,16 @@
     value += std::max(kWeight, 1.0 / samples) * (sample - value);
 }
 
-void LatencyTracker::learn(Mean &ofClass, Mean &ofServer, Duration value)
+void LatencyTracker::Median::add(double sample)
+{
+    ++samples;
+    if (samples == 1)
+        value = sample;
+    const auto step = 1 + std::max(kMedianStep, kFirstMedianStep / samples);
+    value = sample > value ? value * step : value / step;
+}
+
+void LatencyTracker::learn(Median &ofClass, Mean &ofServer, Duration value)
 {
     if (value <= Duration::zero())
         return;
--- a/src/state/latencytracker.h
+++ b/src/state/latencytracker.h
@@ -13,7 +13,7 @@
 /*!
     Compares the latency of backend servers (docs/design.md section 4.6).
 
-    Each value is first divided by the mean of its class, so that a server that happens to run
+    Each value is first divided by the median of its class, so that a server that happens to run
     long prompts does not appear slow. Requests without tokens are compared by service time.
 
     Thread safety: none; use from one thread.
@@ -38,22 +38,35 @@
 
         void add(double sample);
     };
+    //! Median by stochastic approximation; unlike a mean, a few slow servers do not shift it.
+    struct Median
+    {
+        double value = 0;
+        std::uint32_t samples = 0;
+
+        void add(double sample);
+    };
     struct Latency
     {
         Mean firstToken;
         Mean tokenGap;
     };
+    struct ClassLatency
+    {
+        Median firstToken;
+        Median tokenGap;
+    };
     struct Server
     {
         StartNumber start;
-        Latency latency; //!< Relative to the means of the classes.
+        Latency latency; //!< Relative to the medians of the classes.
     };
 
-    static void learn(Mean &ofClass, Mean &ofServer, Duration value);
+    static void learn(Median &ofClass, Mean &ofServer, Duration value);
     double median(const BackendServerTable &servers, Mean Latency::*mean);
 
     std::vector<Server> servers_;
-    std::unordered_map<ClassIndex, Latency> classes_;
+    std::unordered_map<ClassIndex, ClassLatency> classes_;
     std::vector<double> scratch_;
     double medianFirstToken_ = 0;
     double medianTokenGap_ = 0;
--- a/src/state/placement.cpp
+++ b/src/state/placement.cpp
@@ -54,9 +54,9 @@
 
 Placement::Placement(std::uint64_t seed) : random_(seed) { }
 
-ServerIndex Placement::sample(const IndexSet &set)
+std::size_t Placement::sample(std::size_t size)
 {
-    return set.at(std::uniform_int_distribution<std::size_t>(0, set.size() - 1)(random_));
+    return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
 }
 
 std::optional<ServerIndex> Placement::affinity(const RequestRecord &record) const
@@ -110,9 +110,15 @@
     };
     if (const auto index = affinity(record); index && open.contains(*index))
         consider(*index, true);
-    const bool few = open.size() <= kCandidates;
-    for (std::size_t i = 0; i < std::min(kCandidates, open.size()); ++i)
-        consider(few ? open.at(i) : sample(open), false);
+    if (open.size() <= kCandidates) {
+        // Equal servers take turns only if the first one considered varies.
+        const auto first = sample(open.size());
+        for (std::size_t i = 0; i < open.size(); ++i)
+            consider(open.at((first + i) % open.size()), false);
+    } else {
+        for (std::size_t i = 0; i < kCandidates; ++i)
+            consider(open.at(sample(open.size())), false);
+    }
     // The sample can consist of servers that a retried or marked request must avoid.
     return best ? best : firstAccepting(servers, open, record, marked);
 }
--- a/src/state/placement.h
+++ b/src/state/placement.h
@@ -40,7 +40,8 @@
     std::optional<ServerIndex> chooseOpen(const BackendServerTable &servers,
                                           const RequestRecord &record, bool marked);
     std::optional<ServerIndex> affinity(const RequestRecord &record) const;
-    ServerIndex sample(const IndexSet &set);
+    //! Returns a random number below \a size.
+    std::size_t sample(std::size_t size);
 
     std::mt19937_64 random_;
     std::vector<PrefixEntry> prefixes_; //!< Direct-mapped by prefix hash.
--- a/src/state/poolschedulerprivate.cpp
+++ b/src/state/poolschedulerprivate.cpp
@@ -228,7 +228,9 @@
     return { .slots = slots,
              .longSlots = servers.longSlots(),
              .floor = shareOf(slots, policy.backgroundShare),
-             .reserve = slots < kMinSlotsForReserve ? 0 : shareOf(slots, policy.urgentReserve) };
+             .reserve = slots < kMinSlotsForReserve ? 0 : shareOf(slots, policy.urgentReserve),
+             .urgentRoom = servers.urgentRoom(),
+             .urgentLongRoom = servers.urgentLongRoom() };
 }
 
 QueueEstimate PoolScheduler::Private::estimate(const RequestRecord &record, Instant now) const
@@ -259,8 +261,9 @@
     refuseSuspects(now);
     refuseHopeless(now);
     startAll(now);
-    admitFresh(now);
+    // Before new requests are judged by it, the queue loses those that hope in vain.
     review(now);
+    admitFresh(now);
     changed = false;
     return std::exchange(decisions_, {});
 }
@@ -278,14 +281,14 @@
 }
 
 std::optional<ResultCode> PoolScheduler::Private::refusalReason(const RequestRecord &record,
-                                                                Instant now) const
+                                                                Duration slack, Instant now) const
 {
     if (!canRun(record))
         return ResultCode::NoBackendServer;
     // The default for unknown classes is too coarse to refuse by it.
     if (!record.learned)
         return std::nullopt;
-    const auto tolerable = record.deadline - now - neededTime(record);
+    const auto tolerable = record.deadline - now - neededTime(record) + slack;
     if (servers.slots() == 0 && servers.nextReturn().value_or(now) - now > tolerable)
         return ResultCode::DeadlineUnreachable;
     // Finding the work ahead is only worth its cost when the work of the whole team is too much.
@@ -342,28 +345,27 @@
     while (!fresh_.empty()) {
         auto &record = fresh_.front();
         fresh_.pop_front();
-        refuseUnreachable(record, now);
+        refuseUnreachable(record, Duration::zero(), now);
     }
 }
 
 void PoolScheduler::Private::refuseAboveBound(Instant now)
 {
-    // From the newest on, so that those that have waited longest stay.
-    for (auto it = fresh_.end(); it != fresh_.begin();) {
-        auto &record = *std::prev(it);
+    for (std::size_t tier = 0; tier < kTierCount; ++tier) {
         // Tier-1 requests that wait only because lower tiers run must not be refused for it.
-        const auto bound = policy.maxQueuedPerTier + (record.isUrgent() ? lowerRunning_ : 0);
-        if (queue_.tier(record.tierIndex()).size() > bound)
+        const auto bound = policy.maxQueuedPerTier + (tier == 0 ? lowerRunning_ : 0);
+        while (queue_.tier(tier).size() > bound) {
+            // The team with the most requests yields, so that a full queue is open to the others.
+            auto &record = *queue_.last(tier, estimator_.largestTeam(tier));
             refuse(record, ResultCode::QueueFull,
                    std::max(estimate(record, now).wait, retryAfter(record, now)));
-        else
-            --it;
+        }
     }
 }
 
-void PoolScheduler::Private::refuseUnreachable(RequestRecord &record, Instant now)
+void PoolScheduler::Private::refuseUnreachable(RequestRecord &record, Duration slack, Instant now)
 {
-    if (const auto reason = refusalReason(record, now))
+    if (const auto reason = refusalReason(record, slack, now))
         refuse(record, *reason, retryAfter(record, now));
 }
 
@@ -381,7 +383,9 @@
             quote(record);
             enqueue(record);
         }
-        refuseUnreachable(record, now);
+        // The estimate counts running requests in full, so it falls in steps while time passes
+        // steadily. Without slack, a request that was just accepted would be refused.
+        refuseUnreachable(record, record.expected, now);
     }
 }
 
--- a/src/state/poolschedulerprivate.h
+++ b/src/state/poolschedulerprivate.h
@@ -74,14 +74,15 @@
 
     PoolCapacity capacity() const;
     bool canRun(const RequestRecord &record) const;
-    std::optional<ResultCode> refusalReason(const RequestRecord &record, Instant now) const;
+    std::optional<ResultCode> refusalReason(const RequestRecord &record, Duration slack,
+                                            Instant now) const;
     Duration retryAfter(const RequestRecord &record, Instant now) const;
     void refuse(RequestRecord &record, ResultCode code, Duration retryAfter);
     void refuseSuspects(Instant now);
     void refuseHopeless(Instant now);
     void admitFresh(Instant now);
     void refuseAboveBound(Instant now);
-    void refuseUnreachable(RequestRecord &record, Instant now);
+    void refuseUnreachable(RequestRecord &record, Duration slack, Instant now);
     void review(Instant now);
 
     enum class Pick { Urgent, Lower, LowerDue };
--- a/src/state/queueestimator.cpp
+++ b/src/state/queueestimator.cpp
@@ -26,6 +26,7 @@
     load.activeTeams += team.count == 0 ? 1 : 0;
     for (auto *entry : { &load.total, &team }) {
         ++entry->count;
+        entry->runningCount += record.running ? 1 : 0;
         (record.running ? entry->running : entry->waiting) += record.expected;
     }
 }
@@ -36,6 +37,7 @@
     auto &team = load.teams[record.team.value()];
     for (auto *entry : { &load.total, &team }) {
         --entry->count;
+        entry->runningCount -= record.running ? 1 : 0;
         (record.running ? entry->running : entry->waiting) -= record.expected;
     }
     load.activeTeams -= team.count == 0 ? 1 : 0;
@@ -71,19 +73,68 @@
     return std::max(available * own / (own + weights), available - others);
 }
 
-double QueueEstimator::slotsFor(const RequestRecord &record, const PoolCapacity &capacity) const
+double QueueEstimator::divide(double available, double openToLong, std::uint32_t longCount,
+                              RequestLength length)
 {
-    const auto available =
-        record.isUrgent() ? capacity.slots : shareOfLowerTier(record, lowerTierSlots(capacity));
-    const auto longShare = std::min(1.0, capacity.longSlots / std::max(1.0, 1.0 * capacity.slots));
-    if (record.isLong())
-        return std::max(1.0, available * longShare);
+    if (length == RequestLength::Long)
+        return std::max(1.0, openToLong);
     // Short requests have the slots that long ones of the tier leave them.
-    const auto &longLoad = tiers_[record.tierIndex()][1].total;
-    const auto usedByLong = std::min<double>(longLoad.count, available * longShare);
+    const auto usedByLong = std::min<double>(longCount, openToLong);
     return std::max({ 1.0, available - usedByLong, available / 2 });
 }
 
+double QueueEstimator::slotsFor(const RequestRecord &record, const PoolCapacity &capacity) const
+{
+    const auto &ofLong = tiers_[record.tierIndex()][1].total;
+    if (record.isUrgent())
+        return divide(capacity.slots, capacity.longSlots, ofLong.count, record.length);
+    const auto available = shareOfLowerTier(record, lowerTierSlots(capacity));
+    const auto longShare = std::min(1.0, capacity.longSlots / std::max(1.0, 1.0 * capacity.slots));
+    return divide(available, available * longShare, ofLong.count, record.length);
+}
+
+QueueEstimator::Load QueueEstimator::Load::withRunning(double share) const
+{
+    const auto kept = static_cast<std::uint32_t>(std::lround(runningCount * share));
+    return { .waiting = waiting,
+             .running = scaled(running, share),
+             .count = count - runningCount + kept,
+             .runningCount = kept };
+}
+
+double QueueEstimator::effectiveShare(const RequestRecord &record,
+                                      const PoolCapacity &capacity) const
+{
+    const auto runningCount = loadOf(record).total.runningCount;
+    if (!record.isUrgent() || runningCount == 0)
+        return 1;
+    const auto longUsed = std::min<double>(tiers_[0][1].total.runningCount,
+                                           capacity.longSlots - capacity.urgentLongRoom);
+    const auto used = record.isLong() ? longUsed : capacity.slots - capacity.urgentRoom - longUsed;
+    return std::clamp(used / runningCount, 0.0, 1.0);
+}
+
+TeamIndex QueueEstimator::largestTeam(std::size_t tierIndex) const
+{
+    TeamIndex largest;
+    std::uint32_t most = 0;
+    const auto &loads = tiers_[tierIndex];
+    const auto teamCount = std::max(loads[0].teams.size(), loads[1].teams.size());
+    for (std::uint32_t team = 0; team < teamCount; ++team) {
+        std::uint32_t count = 0;
+        Duration waiting {};
+        for (const auto &load : loads) {
+            count += team < load.teams.size() ? load.teams[team].count : 0;
+            waiting += team < load.teams.size() ? load.teams[team].waiting : Duration {};
+        }
+        if (waiting > Duration::zero() && count > most) {
+            largest = TeamIndex(team);
+            most = count;
+        }
+    }
+    return largest;
+}
+
 Duration QueueEstimator::slotInterval(const RequestRecord &record,
                                       const PoolCapacity &capacity) const
 {
@@ -103,18 +154,22 @@
 {
     const auto &load = loadOf(record);
     const auto slots = slotsFor(record, capacity);
+    // Requests that run beyond a server's slots, or on a leaving server, delay nobody.
+    const auto share = effectiveShare(record, capacity);
+    const auto total = load.total.withRunning(share);
     const bool needsFloor =
         !record.isUrgent() && !record.due && countOf(0) + capacity.reserve >= capacity.slots;
     const auto untilDue = needsFloor ? std::max(record.dueAt - now, Duration::zero()) : Duration {};
-    if (load.total.count <= slots)
+    if (total.count <= slots)
         return { .position = 0, .wait = untilDue };
     // Under fair sharing every active team is served as much as this one before it starts.
-    const auto &team = load.teams[record.team.value()];
+    const auto team = load.teams[record.team.value()].withRunning(share);
     const auto ofTeam = aheadInTeam + team.running;
-    const auto ahead = std::min(ofTeam * load.activeTeams, load.total.total() - record.expected);
+    const auto ahead = std::min(ofTeam * load.activeTeams, total.total() - record.expected);
     // As many requests as there are slots are served at once, so their work delays nobody.
     const auto interval = slotInterval(record, capacity);
-    const auto wait = std::max(scaled(ahead, 1 / slots) - scaled(interval, slots - 1), interval);
+    const auto wait =
+        std::max(scaled(ahead, 1 / slots) - scaled(interval, slots - 1), Duration::zero());
     const auto position = interval > Duration::zero() ? wait / interval : 0;
     return { .position = static_cast<std::uint32_t>(position), .wait = std::max(wait, untilDue) };
 }
--- a/src/state/queueestimator.h
+++ b/src/state/queueestimator.h
@@ -14,9 +14,11 @@
 struct PoolCapacity
 {
     std::uint32_t slots = 0;
-    std::uint32_t longSlots = 0; //!< Open to long requests.
-    std::uint32_t floor = 1;     //!< For due requests of tiers 2 to 4.
-    std::uint32_t reserve = 0;   //!< Left free by tiers 2 to 4.
+    std::uint32_t longSlots = 0;      //!< Open to long requests.
+    std::uint32_t floor = 1;          //!< For due requests of tiers 2 to 4.
+    std::uint32_t reserve = 0;        //!< Left free by tiers 2 to 4.
+    std::uint32_t urgentRoom = 0;     //!< Would be free if only tier 1 ran.
+    std::uint32_t urgentLongRoom = 0; //!< Of these, open to long requests.
 };
 
 /*!
@@ -45,6 +47,8 @@
     */
     QueueEstimate estimate(const RequestRecord &record, Duration aheadInTeam,
                            const PoolCapacity &capacity, Instant now) const;
+    //! Returns the team with the most requests among those that wait in a tier. Linear in teams.
+    TeamIndex largestTeam(std::size_t tierIndex) const;
     //! Returns the mean time between two starts in \a record's queue.
     Duration slotInterval(const RequestRecord &record, const PoolCapacity &capacity) const;
 
@@ -54,8 +58,11 @@
         Duration waiting {};
         Duration running {};
         std::uint32_t count = 0;
+        std::uint32_t runningCount = 0;
 
         Duration total() const { return waiting + running; }
+        //! Returns this load with only \a share of what runs.
+        Load withRunning(double share) const;
     };
     struct LengthLoad
     {
@@ -67,9 +74,12 @@
 
     const LengthLoad &loadOf(const RequestRecord &record) const;
     std::uint32_t countOf(std::size_t tier) const;
+    double effectiveShare(const RequestRecord &record, const PoolCapacity &capacity) const;
     double shareOfLowerTier(const RequestRecord &record, double available) const;
     double slotsFor(const RequestRecord &record, const PoolCapacity &capacity) const;
     double lowerTierSlots(const PoolCapacity &capacity) const;
+    static double divide(double available, double openToLong, std::uint32_t longCount,
+                         RequestLength length);
 
     std::array<TierLoad, kTierCount> tiers_;
 };
--- a/src/state/waitingqueue.h
+++ b/src/state/waitingqueue.h
@@ -44,6 +44,11 @@
     //! Returns the first request of tiers 2 to 4 that passes \a filter, or nullptr.
     RequestRecord *frontLower(LaneFilter filter);
 
+    //! Returns the request of \a team that starts last in its tier, or nullptr.
+    RequestRecord *last(std::size_t tierIndex, TeamIndex team)
+    {
+        return tiers_[tierIndex].last(team);
+    }
     const FairQueue &tier(std::size_t tierIndex) const { return tiers_[tierIndex]; }
     std::size_t size() const { return giveUps_.size(); }
 
