--- a/tests/state/schedulermodel.cpp
+++ b/tests/state/schedulermodel.cpp
@@ -50,10 +50,18 @@
     for (const auto *const requestClass : { "quick", "report" }) {
         submit(makeRequest(kUrgentTier, "team-0", requestClass, std::chrono::hours(1)));
         decide({});
-        release(running().front(), ReleaseReason::Completed);
+        release(running().front().request, ReleaseReason::Completed);
     }
 }
 
+PoolPolicy SchedulerModel::defaultPolicy()
+{
+    PoolPolicy policy;
+    policy.name = PoolName("assistant");
+    policy.maxQueuedPerTier = 12;
+    return policy;
+}
+
 Duration SchedulerModel::serviceTime(const SlotRequest &request)
 {
     return isLong(request) ? kReportTime : kQuickTime;
@@ -346,26 +354,26 @@
     constexpr int kMaxRounds = 500;
     for (int round = 0; round < kMaxRounds && !(waiting_.empty() && running_.empty()); ++round) {
         for (const auto &request : running())
-            release(request, ReleaseReason::Completed);
+            release(request.request, ReleaseReason::Completed);
         decide(std::chrono::seconds(1));
     }
     require(waiting_.empty() && running_.empty(), "not everything ended", {});
 }
 
-std::vector<RequestId> SchedulerModel::running() const
+std::vector<SlotRequest> SchedulerModel::running() const
 {
-    std::vector<RequestId> ids;
-    for (const auto &[id, request] : running_)
-        ids.push_back(id);
-    return ids;
+    std::vector<SlotRequest> requests;
+    for (const auto &[id, entry] : running_)
+        requests.push_back(entry.request);
+    return requests;
 }
 
-std::vector<RequestId> SchedulerModel::waiting() const
+std::vector<SlotRequest> SchedulerModel::waiting() const
 {
-    std::vector<RequestId> ids;
+    std::vector<SlotRequest> requests;
     for (const auto &[id, request] : waiting_)
-        ids.push_back(id);
-    return ids;
+        requests.push_back(request);
+    return requests;
 }
 
 } // namespace crocusport
--- a/tests/state/schedulermodel.h
+++ b/tests/state/schedulermodel.h
@@ -30,6 +30,8 @@
     //! \a serverSlots are the slots of each backend server.
     SchedulerModel(const PoolPolicy &policy, const std::vector<std::uint32_t> &serverSlots);
 
+    static PoolPolicy defaultPolicy();
+
     void apply(const Call &call);
     void submit(SlotRequest request);
     void release(const RequestId &request, ReleaseReason reason);
@@ -43,8 +45,9 @@
 
     PoolScheduler &scheduler() { return scheduler_; }
     Instant now() const { return now_; }
-    std::vector<RequestId> running() const;
-    std::vector<RequestId> waiting() const;
+    //! Those that run, with runningOn set.
+    std::vector<SlotRequest> running() const;
+    std::vector<SlotRequest> waiting() const;
     //! Rules that were broken, with the request concerned.
     const std::vector<std::string> &violations() const { return violations_; }
 
--- /dev/null
+++ b/tests/state/testcrashledger.cpp
@@ -0,0 +1,90 @@
+#include "crocusport/state/crashledger.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace crocusport;
+
+namespace {
+
+const Instant kStart { std::chrono::hours(1) };
+const Fingerprint kSuspect(7);
+
+} // namespace
+
+SCENARIO("Fingerprints are refused after two crashes")
+{
+    CrashLedger ledger;
+
+    GIVEN("a fingerprint that ran during one crash, reported twice")
+    {
+        ledger.add(kSuspect, "a#1", kStart);
+        ledger.add(kSuspect, "a#1", kStart);
+
+        // Guards against counting two reports of one crash as two crashes.
+        THEN("it is marked, not refused")
+        {
+            REQUIRE(ledger.isMarked(kSuspect));
+            REQUIRE_FALSE(ledger.refusedUntil(kSuspect, kStart));
+        }
+
+        WHEN("it completes and the same report arrives late")
+        {
+            ledger.clear(kSuspect);
+            ledger.add(kSuspect, "a#1", kStart);
+
+            // Guards against gossip that undoes the clearing.
+            THEN("it stays cleared")
+            {
+                REQUIRE_FALSE(ledger.isMarked(kSuspect));
+            }
+        }
+
+        WHEN("it causes a second crash")
+        {
+            ledger.attribute(kSuspect, "b#1", kStart);
+
+            THEN("it is refused for 10 minutes and stays marked after that")
+            {
+                REQUIRE(ledger.refusedUntil(kSuspect, kStart + std::chrono::seconds(599)));
+                REQUIRE_FALSE(ledger.refusedUntil(kSuspect, kStart + std::chrono::minutes(10)));
+                REQUIRE(ledger.isMarked(kSuspect));
+            }
+
+            // Guards against suspecting the requests that ran next to a known suspect.
+            THEN("the crash does not count for another fingerprint")
+            {
+                ledger.add(Fingerprint(8), "b#1", kStart);
+                REQUIRE_FALSE(ledger.isMarked(Fingerprint(8)));
+            }
+        }
+    }
+
+    // Guards against routers that disagree after they have heard the same reports.
+    rc::prop("the order and number of reports do not matter", [] {
+        using Report = std::pair<std::uint64_t, std::uint64_t>;
+        const auto number = rc::gen::inRange<std::uint64_t>(1, 5);
+        const auto reports =
+            *rc::gen::container<std::vector<Report>>(rc::gen::pair(number, number));
+        auto others = reports;
+        others.insert(others.end(), reports.begin(), reports.end());
+        std::reverse(others.begin(), others.end());
+        const auto merge = [](const std::vector<Report> &list) {
+            CrashLedger merged;
+            for (const auto &[fingerprint, crash] : list)
+                merged.add(Fingerprint(fingerprint), std::to_string(crash), kStart);
+            return merged;
+        };
+        const auto first = merge(reports);
+        const auto second = merge(others);
+        for (std::uint64_t i = 1; i < 5; ++i) {
+            RC_ASSERT(first.isMarked(Fingerprint(i)) == second.isMarked(Fingerprint(i)));
+            RC_ASSERT(first.refusedUntil(Fingerprint(i), kStart)
+                      == second.refusedUntil(Fingerprint(i), kStart));
+        }
+    });
+}
--- a/tests/state/testpoolscheduler.cpp
+++ b/tests/state/testpoolscheduler.cpp
@@ -1,54 +1,81 @@
-#include "schedulermodel.h"
+#include "crocusport/state/resultcode.h"
+#include "generators.h"
 
-#include <catch2/catch.hpp>
-#include <rapidcheck/catch.h>
+#include <algorithm>
+#include <map>
+#include <numeric>
 
 using namespace crocusport;
 
-namespace rc {
+namespace {
+
+constexpr Duration kHour = std::chrono::hours(1);
 
-template<>
-struct Arbitrary<Call>
+std::vector<RequestId> idsOf(const std::vector<SlotRefusal> &refusals, ResultCode code)
 {
-    static Gen<Call> arbitrary()
-    {
-        using Kind = Call::Kind;
-        const auto kind = gen::weightedElement<Kind>({ { 12, Kind::Submit },
-                                                       { 5, Kind::Release },
-                                                       { 1, Kind::Cancel },
-                                                       { 6, Kind::Decide },
-                                                       { 1, Kind::Leave },
-                                                       { 1, Kind::Fail },
-                                                       { 1, Kind::Restart },
-                                                       { 1, Kind::Resize },
-                                                       { 2, Kind::Crash },
-                                                       { 1, Kind::Mark } });
-        return gen::build<Call>(gen::set(&Call::kind, kind),
-                                gen::set(&Call::first, gen::inRange(0U, 100'000U)),
-                                gen::set(&Call::second, gen::inRange(0U, 100'000U)));
+    std::vector<RequestId> ids;
+    for (const auto &refusal : refusals) {
+        if (refusal.code == static_cast<int>(code))
+            ids.push_back(refusal.request);
     }
-};
-
-} // namespace rc
+    return ids;
+}
 
-namespace crocusport {
+bool isUrgent(const SlotRequest &request)
+{
+    return request.tier.value() == kUrgentTier;
+}
 
-void showValue(const Call &call, std::ostream &stream)
+std::int64_t countUrgent(const std::vector<SlotRequest> &requests)
 {
-    stream << '{' << static_cast<int>(call.kind) << ", " << call.first << ", " << call.second
-           << '}';
+    return std::count_if(requests.begin(), requests.end(), isUrgent);
 }
 
-} // namespace crocusport
+//! The tier-1 requests of a pool before a decision; quick ones of one team.
+class UrgentWork
+{
+public:
+    UrgentWork(const SchedulerModel &model, const std::vector<std::uint32_t> &slots)
+        : slots_(std::accumulate(slots.begin(), slots.end(), std::int64_t { 0 })),
+          running_(countUrgent(model.running()))
+    {
+        for (const auto &request : model.waiting()) {
+            if (isUrgent(request))
+                waiting_.emplace(request.request, request);
+        }
+    }
 
-namespace {
+    /*!
+        Returns whether the refusal follows from tier 1 alone: at worst, all that run have just
+        started, and whoever waits with the same or an earlier deadline is ahead.
+    */
+    bool justifies(const SlotRefusal &refusal, Instant now) const
+    {
+        const auto found = waiting_.find(refusal.request);
+        if (found == waiting_.end() || refusal.code == static_cast<int>(ResultCode::DeadlinePassed))
+            return true;
+        const auto count = static_cast<std::int64_t>(waiting_.size()) + running_;
+        if (refusal.code == static_cast<int>(ResultCode::QueueFull))
+            return count - slots_ > SchedulerModel::defaultPolicy().maxQueuedPerTier;
+        const auto &request = found->second;
+        const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const auto &other) {
+            return other.first != request.request && other.second.deadline <= request.deadline;
+        });
+        const auto service = SchedulerModel::serviceTime(request);
+        const auto needed = std::min(service, (request.deadline - request.arrived) / 2);
+        return now + (ahead + running_) / slots_ * service + needed > request.deadline;
+    }
+
+private:
+    std::int64_t slots_;
+    std::int64_t running_;
+    std::map<RequestId, SlotRequest> waiting_;
+};
 
-PoolPolicy smallPolicy()
+void fill(SchedulerModel &model, int count, int tier = kUrgentTier)
 {
-    PoolPolicy policy;
-    policy.name = PoolName("assistant");
-    policy.maxQueuedPerTier = 12;
-    return policy;
+    for (int i = 0; i < count; ++i)
+        model.submit(model.makeRequest(tier, "team-0", "quick", kHour));
 }
 
 } // namespace
@@ -58,15 +85,178 @@
     // Guards against a lower tier ahead of tier 1 or in the headroom, an overloaded or excluded
     // server, long requests above their share, two suspects together, lost or double results.
     rc::prop("no rule is violated and everything ends once", [] {
-        const auto slots =
-            *rc::gen::resize(6,
-                             rc::gen::nonEmpty(rc::gen::container<std::vector<std::uint32_t>>(
-                                 rc::gen::inRange(1U, 9U))));
-        const auto calls = *rc::gen::resize(200, rc::gen::arbitrary<std::vector<Call>>());
-        SchedulerModel model(smallPolicy(), slots);
-        for (const auto &call : calls)
+        SchedulerModel model(SchedulerModel::defaultPolicy(), anySlots());
+        for (const auto &call : anyCalls())
             model.apply(call);
         model.drain();
         RC_ASSERT(model.violations() == std::vector<std::string> {});
     });
+
+    // Guards against refusing urgent work because of work that is less urgent.
+    rc::prop("a tier-1 request is refused only if it would be without the lower tiers", [] {
+        const auto slots = anySlots();
+        SchedulerModel model(SchedulerModel::defaultPolicy(), slots);
+        for (auto call : anyCalls()) {
+            if (call.kind == Call::Kind::Submit) {
+                const auto tier = 1 + static_cast<int>(call.first % 3);
+                const bool isReport = tier > kUrgentTier && call.second % 2 == 0;
+                model.submit(
+                    model.makeRequest(tier, "team-0", isReport ? "report" : "quick",
+                                      std::chrono::milliseconds(150 + call.second % 3000)));
+            } else if (call.kind != Call::Kind::Decide) {
+                call.kind = Call::Kind::Release;
+                model.apply(call);
+            } else {
+                const UrgentWork work(model, slots);
+                const auto elapsed = std::chrono::milliseconds(call.first % 300);
+                for (const auto &refusal : model.decide(elapsed).refusals)
+                    RC_ASSERT(work.justifies(refusal, model.now()));
+            }
+        }
+    });
+}
+
+SCENARIO("A request is refused when it is known that it cannot succeed")
+{
+    auto policy = SchedulerModel::defaultPolicy();
+    policy.maxQueuedPerTier = 1000;
+
+    GIVEN("two backend servers whose 8 slots are taken and 80 quick requests that wait")
+    {
+        SchedulerModel model(policy, { 4, 4 });
+        fill(model, 88);
+        model.decide({});
+        REQUIRE(model.waiting().size() == 80);
+
+        THEN("the estimate for the last one is near 80 requests of 100 ms over 8 slots")
+        {
+            const auto request = model.makeRequest(kUrgentTier, "team-0", "quick", kHour);
+            model.submit(request);
+            const auto estimate = model.scheduler().estimate(request.request, model.now());
+            REQUIRE(estimate.wait > std::chrono::milliseconds(800));
+            REQUIRE(estimate.wait < std::chrono::milliseconds(1250));
+            REQUIRE(estimate.position >= 70);
+        }
+
+        // Guards against holding a request until its caller has no time left for another attempt.
+        WHEN("a request arrives that allows only half of the wait")
+        {
+            const Duration allowance = std::chrono::milliseconds(600);
+            const auto request = model.makeRequest(kUrgentTier, "team-0", "quick", allowance);
+            model.submit(model.makeRequest(kUrgentTier, "team-0", "quick", kHour));
+            fill(model, 1);
+            model.submit(request);
+            const auto refusals = model.decide({}).refusals;
+
+            THEN("it is not refused, because it has the earliest latest start of its team")
+            {
+                REQUIRE(refusals.empty());
+            }
+        }
+
+        WHEN("20 such requests arrive")
+        {
+            for (int i = 0; i < 100; ++i)
+                model.submit(model.makeRequest(kUrgentTier, "team-0", "quick",
+                                               std::chrono::milliseconds(600)));
+            const auto refusals = model.decide({}).refusals;
+
+            THEN("those that cannot be served in time are refused at once")
+            {
+                const auto refused = idsOf(refusals, ResultCode::DeadlineUnreachable);
+                REQUIRE(refused.size() > 40);
+                REQUIRE(refused.size() < 75);
+            }
+        }
+
+        // Guards against noticing the loss of capacity only when deadlines expire.
+        WHEN("one backend server leaves, so that some deadlines become unreachable")
+        {
+            for (int i = 0; i < 30; ++i)
+                model.submit(model.makeRequest(kUrgentTier, "team-0", "quick",
+                                               std::chrono::milliseconds(600)));
+            REQUIRE(model.decide({}).refusals.empty());
+            model.apply({ .kind = Call::Kind::Leave, .first = 0, .second = 0 });
+
+            THEN("they are refused in the next decision")
+            {
+                const auto refusals = model.decide({}).refusals;
+                REQUIRE_FALSE(idsOf(refusals, ResultCode::DeadlineUnreachable).empty());
+            }
+        }
+
+        WHEN("the last backend server has left")
+        {
+            model.apply({ .kind = Call::Kind::Leave, .first = 0, .second = 0 });
+            model.apply({ .kind = Call::Kind::Leave, .first = 1, .second = 0 });
+
+            THEN("whatever waits is refused")
+            {
+                REQUIRE(idsOf(model.decide({}).refusals, ResultCode::NoBackendServer).size() == 80);
+            }
+        }
+    }
+
+    // Guards against a constant Retry-After, which makes all callers return together.
+    GIVEN("queues of different length that are full")
+    {
+        const auto retryAfterOf = [&](std::uint32_t bound) {
+            policy.maxQueuedPerTier = bound;
+            SchedulerModel model(policy, { 4 });
+            fill(model, static_cast<int>(bound) + 5);
+            const auto refusals = model.decide({}).refusals;
+            REQUIRE(refusals.size() == 1);
+            REQUIRE(refusals.front().code == static_cast<int>(ResultCode::QueueFull));
+            return refusals.front().retryAfter;
+        };
+
+        THEN("the time to try again grows with the queue")
+        {
+            REQUIRE(retryAfterOf(400) > 5 * retryAfterOf(40));
+        }
+    }
+}
+
+SCENARIO("A large team does not keep a small one out of a full queue")
+{
+    GIVEN("a queue that one team has filled")
+    {
+        SchedulerModel model(SchedulerModel::defaultPolicy(), { 2 });
+        fill(model, 14);
+        REQUIRE(model.decide({}).refusals.empty());
+
+        // Guards against a bound that refuses whoever comes last.
+        THEN("another team's request is accepted in place of one of that team")
+        {
+            const auto request = model.makeRequest(kUrgentTier, "team-1", "quick", kHour);
+            model.submit(request);
+            const auto refusals = model.decide({}).refusals;
+            REQUIRE(refusals.size() == 1);
+            REQUIRE(refusals.front().request != request.request);
+        }
+    }
+}
+
+SCENARIO("Within a team the earliest latest start comes first")
+{
+    GIVEN("a full backend server, a long report and later a quick request")
+    {
+        SchedulerModel model(SchedulerModel::defaultPolicy(), { 2 });
+        fill(model, 2);
+        model.decide({});
+        model.submit(model.makeRequest(kUrgentTier, "team-0", "report", kHour));
+        const auto quick =
+            model.makeRequest(kUrgentTier, "team-0", "quick", std::chrono::seconds(10));
+        model.submit(quick);
+        model.decide({});
+
+        // Guards against head-of-line blocking of a short request by an earlier report.
+        THEN("the quick request gets the next slot")
+        {
+            model.release(model.running().front().request, ReleaseReason::Completed);
+            const auto grants = model.decide({}).grants;
+            REQUIRE(grants.size() == 1);
+            REQUIRE(grants.front().request == quick.request);
+        }
+    }
 }
