Engine: Keep streams that close before their first token

The router resumes a stream that broke before its first token, and the simulated engine had cancelled it already. A stream that has started is now kept whether it has sent tokens or not.

--- a/tools/standins/engine.cpp
+++ b/tools/standins/engine.cpp
@@ -220,7 +220,7 @@
     const auto now = monotonicNow();
     if (generation->emitted > 0)
         return scheduleToken(generation, now + scaled(options_.tokenGap));
-    if (startsByHash_.size() < kMaxRecordedHashes)
+    if (generation->run == 1 && startsByHash_.size() < kMaxRecordedHashes)
         ++startsByHash_[generation->hash];
     const auto cached = prefixCache_.use(generation->prompt);
     counts_.prefixHits += cached;
@@ -286,7 +286,7 @@
 {
     if (generation->state == GenerationState::Finished)
         return;
-    if (generation->isStreamed && generation->emitted > 0)
+    if (generation->isStreamed && generation->run > 0)
         return pause(generation);
     cancel(generation);
 }
