Tests: Guard holder changes, pauses and readiness

Cause: trials that broke the code on purpose were not noticed for grants after the deadline, running requests that a new holder must count, local grants that are not reported, Dead taken from others on a rejoin, suspicions kept over a pause, older configurations, readiness and the grace time of a new holder. Each has a scenario now.

--- a/tests/coordination/cluster.cpp
+++ b/tests/coordination/cluster.cpp
@@ -73,7 +73,11 @@
 void Cluster::resume(const std::string &name)
 {
     Node &node = nodes_.at(name);
+    if (!node.membership)
+        return;
     node.isPaused = false;
+    // A timer may run before what has arrived during the pause is read.
+    tick(name);
     for (const auto &event : std::exchange(node.deferred, {}))
         event();
 }
@@ -180,6 +184,26 @@
     });
 }
 
+void Cluster::healAll()
+{
+    cuts_.clear();
+    drops_ = 0;
+}
+
+void Cluster::takeMembers(const std::string &name)
+{
+    Node &node = nodes_.at(name);
+    const auto before = std::exchange(node.live, node.membership->liveMembers());
+    for (const auto &member : before) {
+        if (isRunning(member.value())
+            && nodes_.at(member.value()).membership->self().state == MemberState::Alive
+            && !std::binary_search(node.live.begin(), node.live.end(), member))
+            ++drops_;
+    }
+    node.broker->setMembers(node.live, node.membership->leavingMembers(), now_);
+    node.replica->setMembers(node.live);
+}
+
 void Cluster::tick(const std::string &name)
 {
     Node &node = nodes_.at(name);
@@ -195,10 +219,8 @@
         node.observations.insert(observation);
         node.broker->observe(observation, now_);
     }
-    if (membership.takeMembersChanged()) {
-        node.broker->setMembers(membership.liveMembers(), membership.leavingMembers(), now_);
-        node.replica->setMembers(membership.liveMembers());
-    }
+    if (membership.takeMembersChanged())
+        takeMembers(name);
     if (node.replica->isStoreWatcher())
         readStore(name);
     for (const auto &outgoing : node.replica->tick(now_))
--- a/tests/coordination/cluster.h
+++ b/tests/coordination/cluster.h
@@ -45,7 +45,7 @@
     void resume(const std::string &name);
     void leave(const std::string &name) { nodes_.at(name).membership->leave(now_); }
     void cut(const std::string &first, const std::string &second);
-    void healAll() { cuts_.clear(); }
+    void healAll();
     void request(const std::string &router, const std::string &pool, int tier, Duration deadline,
                  Duration service);
     void cancelAll(const std::string &router);
@@ -67,6 +67,8 @@
     std::uint32_t countedSlots() const;
     std::uint64_t versionOf(const std::string &name) const;
     std::uint64_t storedVersion() const;
+    //! How often a router has taken a running one for dead since the last healAll().
+    int drops() const { return drops_; }
     bool isReady(const std::string &name) const { return nodes_.at(name).replica->isReady(); }
     std::size_t observationsAt(const std::string &name) const;
     const std::map<std::string, Request> &requests() const { return requests_; }
@@ -85,6 +87,7 @@
         std::vector<std::function<void()>> deferred; //!< What happened while it was paused.
         std::set<Observation> observations;
         std::set<std::string> links;
+        std::vector<RouterName> live;
     };
 
     void at(Instant time, const std::string &node, std::function<void()> event);
@@ -92,6 +95,7 @@
     bool canReach(const std::string &from, const std::string &to) const;
     void deliver(const std::string &from, const OutgoingMessage &outgoing);
     void receive(const std::string &from, const std::string &to, const PeerMessage &message);
+    void takeMembers(const std::string &name);
     void tickAll();
     void tick(const std::string &name);
     void readStore(const std::string &name);
@@ -111,6 +115,7 @@
     std::map<std::string, std::string> publications_;
     std::vector<BackendServer> servers_;
     std::size_t messagesSent_ = 0;
+    int drops_ = 0;
 };
 
 } // namespace crocusport::testing
--- a/tests/coordination/scenario.cpp
+++ b/tests/coordination/scenario.cpp
@@ -141,6 +141,8 @@
             for (std::string name; line >> name;)
                 expected.push_back(name);
             check(seen == expected, join(seen));
+        } else if (what == "drops") {
+            check(cluster_.drops() == std::stoi(word(line)), std::to_string(cluster_.drops()));
         } else if (what == "decided") {
             expectDecided();
         } else if (what == "granted") {
--- a/tests/coordination/scenario.h
+++ b/tests/coordination/scenario.h
@@ -16,6 +16,7 @@
         publish ID | store out|back
         expect all-agree            running routers see exactly each other as live
         expect live A NAME...       A sees exactly these as live
+        expect drops COUNT          how often a router took a running one for dead since "heal"
         expect decided              each request of a router that has not died: one decision
         expect granted COUNT        that many requests have been granted so far
         expect slots COUNT          that many slots are counted as used by all holders together
--- /dev/null
+++ b/tests/coordination/testconfigurationreplica.cpp
@@ -0,0 +1,79 @@
+#include "crocusport/coordination/configurationreplica.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool adopt(ConfigurationReplica &replica, std::uint64_t version, ConfigurationSource source)
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = ConfigurationVersion(version);
+    return replica.adopt(configuration, "document " + std::to_string(version), source);
+}
+
+} // namespace
+
+SCENARIO("A router that starts while the store is out becomes ready through its peers")
+{
+    const RouterName b("b");
+    const RouterName c("c");
+    ConfigurationReplica replica(RouterName("a"));
+    replica.setMembers({ RouterName("a"), b, c });
+    Instant now(1000s);
+    REQUIRE(replica.tick(now).empty());
+
+    GIVEN("one peer that has version 4 and one that has version 5")
+    {
+        replica.hear(b, ConfigurationVersion(4));
+        REQUIRE(replica.tick(now).front().to == b);
+        replica.hear(c, ConfigurationVersion(5));
+
+        // Guards against a router that serves with a configuration older than its peers'.
+        THEN("version 4 is adopted but does not make it ready")
+        {
+            REQUIRE(adopt(replica, 4, ConfigurationSource::Peer));
+            REQUIRE(replica.tick(now).front().to == c);
+            now += 2s;
+            replica.tick(now);
+            REQUIRE_FALSE(replica.isReady());
+            REQUIRE(adopt(replica, 5, ConfigurationSource::Peer));
+            replica.tick(now);
+            REQUIRE(replica.isReady());
+
+            // Guards against a late message that brings back an older version.
+            AND_THEN("it never goes back")
+            {
+                REQUIRE_FALSE(adopt(replica, 4, ConfigurationSource::Store));
+                REQUIRE_FALSE(adopt(replica, 5, ConfigurationSource::Store));
+                REQUIRE(replica.version() == ConfigurationVersion(5));
+                REQUIRE_FALSE(replica.answer(b, { ConfigurationVersion(5) }));
+                const auto answer = replica.answer(b, { ConfigurationVersion(4) });
+                REQUIRE(std::get<ConfigurationMessage>(answer->message).document == "document 5");
+            }
+        }
+        // Guards against waiting for ever for a peer that does not deliver.
+        THEN("another peer is asked when the first one does not deliver")
+        {
+            REQUIRE(replica.tick(now + 400ms).empty());
+            REQUIRE(replica.tick(now + 500ms).front().to == c);
+            REQUIRE(replica.tick(now + 1s).front().to == b);
+        }
+    }
+    GIVEN("a peer that answers and one that does not")
+    {
+        replica.hear(b, ConfigurationVersion(4));
+        REQUIRE(adopt(replica, 4, ConfigurationSource::Peer));
+
+        // Guards against a silent peer that keeps a router out of service.
+        THEN("it is ready after a second without the silent one")
+        {
+            replica.tick(now + 10ms);
+            REQUIRE_FALSE(replica.isReady());
+            replica.tick(now + 1010ms);
+            REQUIRE(replica.isReady());
+        }
+    }
+}
--- a/tests/coordination/testscenarios.cpp
+++ b/tests/coordination/testscenarios.cpp
@@ -51,7 +51,22 @@
             at 7s expect all-agree
             at 30s resume c
             at 31s expect live c a b c d e
-            at 35s expect all-agree)");
+            at 35s expect all-agree
+            at 35s expect drops 0)");
+    }
+    // Guards against a router that acts on its suspicions when it wakes, before it has read what
+    // refutes them.
+    SECTION("a router is paused while it suspects others")
+    {
+        requireScenario(R"(
+            routers a b c d e
+            at 2s loss 1
+            at 3500ms loss 0
+            at 3500ms pause c
+            at 11s heal
+            at 12s resume c
+            at 16s expect all-agree
+            at 16s expect drops 0)");
     }
     // Guards against sides that never find each other again, and against live members that drop
     // out while the beliefs of the two sides are merged.
@@ -69,7 +84,8 @@
             at 10s expect live d c d e
             at 300s heal
             at 370s expect all-agree
-            at 380s expect all-agree)");
+            at 380s expect all-agree
+            at 380s expect drops 0)");
     }
     // Guards against a single broken pair of routers taken for a dead router.
     SECTION("two routers lose only their direct connection")
@@ -111,6 +127,20 @@
             at 40s expect decided
             at 90s expect slots 0)");
     }
+    // Guards against a new holder that gives away slots which are in use.
+    SECTION("the holder dies while requests run, and another one starts requests by itself")
+    {
+        requireScenario(R"(
+            routers a b c d e
+            at 2s request other:p0 p0 1 5 60s 30s
+            at 3s kill holder:p0
+            at 9s expect slots 5
+            at 9s request other:p1 p1 1 4 60s 20s
+            at 10s pause holder:p1
+            at 11s request other:p1 p1 1 4 60s 20s
+            at 11500ms resume holder:p1
+            at 12s expect slots 13)");
+    }
     // Guards against a woken holder whose old grants run requests again.
     SECTION("the holder is paused while requests wait")
     {
@@ -123,6 +153,19 @@
             at 40s expect granted 40
             at 100s expect slots 0)");
     }
+    // Guards against a woken router that runs requests whose callers have given up.
+    SECTION("a router is paused until its requests' deadline has passed")
+    {
+        requireScenario(R"(
+            routers a b c d e
+            at 2s request holder:p0 p0 1 12 30s 2s
+            at 3s request other:p0 p0 1 5 4s 1s
+            at 3500ms pause other:p0
+            at 9s resume other:p0
+            at 10s expect decided
+            at 10s expect granted 12
+            at 10s expect slots 0)");
+    }
     // Guards against a leaving router whose slots are given away while it finishes.
     SECTION("a router leaves with running requests")
     {
--- /dev/null
+++ b/tests/coordination/testslotbroker.cpp
@@ -0,0 +1,106 @@
+#include "crocusport/coordination/slotbroker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+using namespace std::chrono_literals;
+
+SCENARIO("The queue policy decides where requests queue")
+{
+    const Instant now(1000s);
+    BackendServer server;
+    server.name = BackendServerName("s");
+    server.pool = PoolName("p");
+    server.slots = 2;
+    const auto request = [&](const std::string &id) {
+        SlotRequest request;
+        request.request = RequestId(id);
+        request.pool = server.pool;
+        request.tier = Tier(1);
+        request.arrived = now;
+        request.deadline = now + 10s;
+        return request;
+    };
+
+    // Guards against baselines that measure the holder's queue by mistake.
+    GIVEN("a router with one of the policies without holders, and peers")
+    {
+        const auto policy = GENERATE(QueuePolicy::Local, QueuePolicy::LeastOutstanding,
+                                     QueuePolicy::FifoRoundRobin);
+        SlotBroker broker(RouterName("a"), policy, 1);
+        broker.setBackendServers({ server }, now);
+        broker.setMembers({ RouterName("a"), RouterName("b"), RouterName("c") }, now);
+
+        WHEN("three requests arrive for two slots")
+        {
+            for (const auto *const id : { "1", "2", "3" })
+                broker.request(request(id), now);
+            const auto output = broker.run(now);
+            THEN("it grants its own slots and sends nothing")
+            {
+                REQUIRE(output.messages.empty());
+                REQUIRE(output.grants.size() == 2);
+                AND_WHEN("a slot is released")
+                {
+                    SlotRelease release;
+                    release.request = output.grants.front().request;
+                    release.pool = server.pool;
+                    release.server = server.name;
+                    broker.release(release, now + 1s);
+                    REQUIRE(broker.run(now + 1s).grants.size() == 1);
+                }
+            }
+        }
+    }
+
+    // Guards against a new holder that gives slots to lower tiers before it knows which are in use.
+    GIVEN("a router that has just become the holder")
+    {
+        server.slots = 10;
+        SlotBroker broker(RouterName("a"), QueuePolicy::Holder, 1);
+        broker.setBackendServers({ server }, now);
+        broker.setMembers({ RouterName("a") }, now);
+        auto lower = request("lower");
+        lower.tier = Tier(3);
+        broker.request(lower, now);
+        broker.request(request("urgent"), now);
+
+        THEN("only tier 1 starts within the first 150 ms")
+        {
+            const auto first = broker.run(now);
+            REQUIRE(first.grants.size() == 1);
+            REQUIRE(first.grants.front().request == RequestId("urgent"));
+            REQUIRE(broker.nextRunTime(now) <= now + 150ms);
+            REQUIRE(broker.run(now + 149ms).grants.empty());
+            REQUIRE(broker.run(now + 150ms).grants.size() == 1);
+        }
+    }
+
+    // Guards against a caller that is answered 20 ms late for each request when a holder is silent,
+    // and against a silent holder's load moving to the others without bound.
+    GIVEN("a router whose pool is held by a silent peer")
+    {
+        server.slots = 40;
+        SlotBroker broker(RouterName("a"), QueuePolicy::Holder, 1);
+        broker.setBackendServers({ server }, now);
+        std::vector<RouterName> members { RouterName("a") };
+        for (int i = 0; broker.holderOf(server.pool) == RouterName("a"); ++i) {
+            members.emplace_back("b" + std::to_string(i));
+            broker.setMembers(members, now);
+        }
+        const auto limit = std::size_t { 2 } * server.slots / members.size();
+
+        WHEN("many requests get no answer for 20 ms")
+        {
+            for (int i = 0; i < 60; ++i)
+                broker.request(request(std::to_string(i)), now);
+            REQUIRE(broker.run(now + 19ms).grants.empty());
+            const auto output = broker.run(now + 20ms);
+            THEN("it starts twice its even share and reports them to the holder")
+            {
+                REQUIRE(output.grants.size() == std::min<std::size_t>(limit, server.slots));
+                REQUIRE(output.messages.size() == output.grants.size());
+            }
+        }
+    }
+}
