--- a/include/crocusport/protocol/statusdocument.h
+++ b/include/crocusport/protocol/statusdocument.h
@@ -6,6 +6,7 @@
 #include "crocusport/state/poolscheduler.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -13,37 +14,42 @@
 
 namespace crocusport {
 
-//! One pool. Load and exclusions are those that the reporting router knows of.
-struct PoolReport
-{
-    RouterName holder;
-    PoolStatus status;
-};
-
-//! How one class does against its targets, at the reporting router.
+//! How one class does against its targets, at the reporting router since its start.
 struct ClassReport
 {
     ClassName name;
-    Tier tier { kLowestTier };
-    std::uint64_t requests = 0; //!< Since the router's start.
-    std::optional<Milliseconds> firstTokenTarget;
-    std::optional<Milliseconds> firstTokenP95;
-    std::optional<Milliseconds> answerTarget;
-    std::optional<Milliseconds> answerP95;
-    std::optional<double> attainment; //!< Share of requests within all targets.
+    std::uint64_t ended = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t targetMet = 0; //!< Of those completed.
 
     bool operator==(const ClassReport &) const = default;
 };
 
+//! The configuration in force at the reporting router.
+struct ConfigurationReport
+{
+    ConfigurationVersion version;
+    std::string publishId;
+    bool isStoreWatcher = false;
+    bool isStoreReachable = false;
+    std::optional<double> ageSeconds; //!< Since its adoption.
+
+    bool operator==(const ConfigurationReport &) const = default;
+};
+
 //! What a router answers to `GET /status` on its port for operators.
 struct RouterStatus
 {
     RouterName router;
-    Incarnation incarnation;
-    std::string state; //!< "starting", "ready" or "stopping".
-    ConfigurationVersion configurationVersion;
-    std::vector<MemberInfo> members;
-    std::vector<PoolReport> pools;
+    AvailabilityZone zone;
+    Region region;
+    bool isReady = false;
+    double uptimeSeconds = 0;
+    std::uint64_t openRequests = 0;
+    ConfigurationReport configuration;
+    std::vector<MemberInfo> members; //!< Without incarnations.
+    std::map<PoolName, RouterName> poolHolders;
+    std::vector<PoolStatus> pools; //!< Those that the router holds.
     std::vector<ClassReport> classes;
 };
 
--- a/src/daemon/operatorcommand.cpp
+++ b/src/daemon/operatorcommand.cpp
@@ -87,7 +87,17 @@
 {
     BOOST_LEAF_AUTO(body, getFromRouter(arguments, "/status"));
     BOOST_LEAF_AUTO(status, parseRouterStatus(body));
-    return arguments.isJson ? body + "\n" : statusScreen(status);
+    if (arguments.isJson)
+        return body + "\n";
+    // A router that has no configuration yet still has a status.
+    const auto configuration = handleErrors(
+        [&]() -> Result<std::optional<Configuration>> {
+            BOOST_LEAF_AUTO(document, getFromRouter(arguments, "/config"));
+            BOOST_LEAF_AUTO(parsed, parseConfigurationDocument(document));
+            return std::optional(std::move(parsed));
+        },
+        [](const Error &) { return std::optional<Configuration> {}; });
+    return statusScreen(status, configuration);
 }
 
 Result<std::string> showConfigurationCommand(const OperatorArguments &arguments)
--- a/src/daemon/statusscreen.cpp
+++ b/src/daemon/statusscreen.cpp
@@ -60,9 +60,9 @@
     return text + table.text() + moreText(members.size(), shown, "routers");
 }
 
-std::string poolText(const PoolReport &pool)
+std::string poolText(const PoolStatus &pool)
 {
-    auto servers = pool.status.servers;
+    auto servers = pool.servers;
     std::stable_sort(servers.begin(), servers.end(), [](const auto &left, const auto &right) {
         const auto rank = [](const BackendServerStatus &status) {
             const auto load = static_cast<double>(status.running)
@@ -77,10 +77,9 @@
         running += server.running;
         slots += server.server.slots;
     }
-    std::string text = "pool " + pool.status.pool.value() + ": holder " + pool.holder.value()
-        + ", running " + std::to_string(running) + " of " + std::to_string(slots)
-        + " slots, waiting by tier";
-    for (const auto waiting : pool.status.waitingByTier)
+    std::string text = "pool " + pool.pool.value() + ": held here, running "
+        + std::to_string(running) + " of " + std::to_string(slots) + " slots, waiting by tier";
+    for (const auto waiting : pool.waitingByTier)
         text += ' ' + std::to_string(waiting);
     TextTable table({ "backend server", "state", "load", "slow factor", "availability zone",
                       "excluded because" });
@@ -88,38 +87,65 @@
     for (std::size_t i = 0; i < shown; ++i) {
         const auto &[server, serverRunning, slowFactor, excludedBecause] = servers[i];
         table.add({ server.name.value(),
-                    server.state == BackendServerState::Live ? "live" : "leaving",
                     std::to_string(serverRunning) + '/' + std::to_string(server.slots),
                     tenthsText(slowFactor), server.zone.value(), excludedBecause });
     }
     return text + "\n" + table.text() + moreText(servers.size(), shown, "backend servers");
 }
 
-std::string classesText(const std::vector<ClassReport> &classes)
+//! Pools that other routers hold; those know their load.
+std::string otherPoolsText(const RouterStatus &status)
 {
-    TextTable table({ "class", "tier", "requests", "first token p95", "target", "answer p95",
-                      "target", "within targets" });
+    std::string text;
+    for (const auto &[pool, holder] : status.poolHolders) {
+        if (holder != status.router)
+            text += "\npool " + pool.value() + ": held by " + holder.value() + "\n";
+    }
+    return text;
+}
+
+std::string classesText(const std::vector<ClassReport> &classes,
+                        const std::optional<Configuration> &configuration)
+{
+    TextTable table(
+        { "class", "tier", "first token", "answer", "ended", "completed", "within targets" });
     for (const auto &report : classes) {
-        table.add({ report.name.value(), std::to_string(report.tier.value()),
-                    std::to_string(report.requests), millisecondsText(report.firstTokenP95),
-                    millisecondsText(report.firstTokenTarget), millisecondsText(report.answerP95),
-                    millisecondsText(report.answerTarget),
-                    report.attainment ? tenthsText(*report.attainment * 100) + "%" : "-" });
+        RequestClass requestClass;
+        requestClass.tier = Tier();
+        if (configuration) {
+            const auto found = configuration->classes.find(report.name);
+            if (found != configuration->classes.end())
+                requestClass = found->second;
+        }
+        const auto tier = requestClass.tier.value();
+        const auto share = static_cast<double>(report.targetMet)
+            / static_cast<double>(std::max<std::uint64_t>(report.completed, 1));
+        table.add({ report.name.value(), tier > 0 ? std::to_string(tier) : "-",
+                    millisecondsText(requestClass.firstTokenTarget),
+                    millisecondsText(requestClass.answerTarget), std::to_string(report.ended),
+                    std::to_string(report.completed),
+                    report.completed > 0 ? tenthsText(share * 100) + "%" : "-" });
     }
-    return "classes\n" + table.text();
+    return "classes and their targets\n" + table.text();
 }
 
 } // namespace
 
-std::string statusScreen(const RouterStatus &status)
+std::string statusScreen(const RouterStatus &status,
+                         const std::optional<Configuration> &configuration)
 {
-    std::string text = "router " + status.router.value() + ": " + status.state
-        + ", configuration version " + std::to_string(status.configurationVersion.value())
-        + ", incarnation " + std::to_string(status.incarnation.value()) + "\n\n"
-        + membersText(status);
+    const auto &report = status.configuration;
+    std::string text = "router " + status.router.value() + ": "
+        + (status.isReady ? "ready" : "not ready") + ", configuration version "
+        + std::to_string(report.version.value()) + ", open requests "
+        + std::to_string(status.openRequests) + "\n";
+    if (report.isStoreWatcher)
+        text +=
+            std::string("store: ") + (report.isStoreReachable ? "reachable" : "unreachable") + "\n";
+    text += "\n" + membersText(status);
     for (const auto &pool : status.pools)
         text += "\n" + poolText(pool);
-    return text + "\n" + classesText(status.classes);
+    return text + otherPoolsText(status) + "\n" + classesText(status.classes, configuration);
 }
 
 std::string configurationScreen(const Configuration &configuration)
--- a/src/daemon/statusscreen.h
+++ b/src/daemon/statusscreen.h
@@ -4,16 +4,18 @@
 #include "crocusport/protocol/statusdocument.h"
 #include "crocusport/state/configuration.h"
 
+#include <optional>
 #include <string>
 
 namespace crocusport {
 
 /*!
     Returns \a status as text for one screen. Of each pool, the backend servers that an operator
-    has to look at come first (excluded, slow, loaded); others are only counted. Safe from any
-    thread.
+    has to look at come first (excluded, slow, loaded); others are only counted. The targets are
+    those of \a configuration, if there is one. Safe from any thread.
 */
-std::string statusScreen(const RouterStatus &status);
+std::string statusScreen(const RouterStatus &status,
+                         const std::optional<Configuration> &configuration);
 
 //! Returns \a configuration as text. Safe from any thread.
 std::string configurationScreen(const Configuration &configuration);
--- a/src/protocol/jsonfields.h
+++ b/src/protocol/jsonfields.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <concepts>
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -45,6 +46,11 @@
 template<typename T>
 inline constexpr bool kIsVector<std::vector<T>> = true;
 
+template<typename T>
+inline constexpr bool kIsMap = false;
+template<typename Key, typename T>
+inline constexpr bool kIsMap<std::map<Key, T>> = true;
+
 //! Builds a JSON object from the fields that describe() names. Thread safety: none.
 class FieldWriter
 {
@@ -100,6 +106,11 @@
             for (const auto &element : value)
                 array.push_back(toJson(element));
             return array;
+        } else if constexpr (kIsMap<T>) {
+            auto object = nlohmann::json::object();
+            for (const auto &[key, element] : value)
+                object[key.value()] = toJson(element);
+            return object;
         } else if constexpr (std::is_arithmetic_v<T> || std::same_as<T, std::string>) {
             return value;
         } else {
@@ -195,6 +206,8 @@
             value = static_cast<T>(readName(key, json, kNames.data(), kNames.size()));
         } else if constexpr (kIsVector<T>) {
             readVector(key, json, value);
+        } else if constexpr (kIsMap<T>) {
+            readMap(key, json, value);
         } else if constexpr (std::same_as<T, bool>) {
             readBool(key, json, value);
         } else if constexpr (std::unsigned_integral<T>) {
@@ -229,6 +242,18 @@
             read(key, item, *element++);
     }
 
+    template<typename Key, typename T>
+    void readMap(const char *key, const nlohmann::json &json, std::map<Key, T> &value)
+    {
+        value.clear();
+        if (!json.is_object()) {
+            fail(key, "is not an object");
+            return;
+        }
+        for (auto item = json.begin(); item != json.end(); ++item)
+            read(key, item.value(), value[Key(item.key())]);
+    }
+
     const nlohmann::json &object_;
     std::string error_;
 };
--- a/src/protocol/statusdocument.cpp
+++ b/src/protocol/statusdocument.cpp
@@ -19,8 +19,7 @@
 
 struct PoolRow
 {
-    RouterName holder;
-    PoolName pool;
+    PoolName name;
     std::vector<std::uint32_t> waitingByTier;
     std::vector<ServerRow> servers;
 };
@@ -36,7 +35,6 @@
 {
     fields.required("name", row.member.name);
     fields.required("state", row.member.state);
-    fields.required("incarnation", row.member.incarnation);
     fields.required("availability_zone", row.member.zone);
     fields.required("region", row.member.region);
     fields.required("address", row.member.address);
@@ -48,9 +46,6 @@
     fields.required("name", server.name);
     fields.required("address", server.address);
     fields.required("availability_zone", server.zone);
-    fields.required("region", server.region);
-    fields.required("state", server.state);
-    fields.required("start", server.start);
     fields.required("slots", server.slots);
     fields.required("running", row.status.running);
     fields.required("slow_factor", row.status.slowFactor);
@@ -59,10 +54,9 @@
 
 void describe(auto &fields, Is<PoolRow> auto &row)
 {
-    fields.required("name", row.pool);
-    fields.required("holder", row.holder);
+    fields.required("name", row.name);
     fields.required("waiting_by_tier", row.waitingByTier);
-    fields.required("servers", row.servers);
+    fields.required("backend_servers", row.servers);
 }
 
 } // namespace
@@ -70,13 +64,18 @@
 void describe(auto &fields, Is<ClassReport> auto &report)
 {
     fields.required("name", report.name);
-    fields.required("tier", report.tier);
-    fields.required("requests", report.requests);
-    fields.optional("first_token_target_ms", report.firstTokenTarget);
-    fields.optional("first_token_p95_ms", report.firstTokenP95);
-    fields.optional("answer_target_ms", report.answerTarget);
-    fields.optional("answer_p95_ms", report.answerP95);
-    fields.optional("attainment", report.attainment);
+    fields.required("ended", report.ended);
+    fields.required("completed", report.completed);
+    fields.required("target_met", report.targetMet);
+}
+
+void describe(auto &fields, Is<ConfigurationReport> auto &report)
+{
+    fields.required("version", report.version);
+    fields.defaulted("publish_id", report.publishId);
+    fields.defaulted("is_store_watcher", report.isStoreWatcher);
+    fields.defaulted("is_store_reachable", report.isStoreReachable);
+    fields.optional("age_seconds", report.ageSeconds);
 }
 
 void describe(auto &fields, Is<Explanation> auto &explanation)
@@ -89,13 +88,18 @@
 
 void describe(auto &fields, Is<StatusRow> auto &row)
 {
-    fields.required("router", row.status.router);
-    fields.required("incarnation", row.status.incarnation);
-    fields.required("state", row.status.state);
-    fields.required("configuration_version", row.status.configurationVersion);
+    auto &status = row.status;
+    fields.required("router", status.router);
+    fields.required("availability_zone", status.zone);
+    fields.required("region", status.region);
+    fields.required("ready", status.isReady);
+    fields.defaulted("uptime_seconds", status.uptimeSeconds);
+    fields.defaulted("open_requests", status.openRequests);
+    fields.required("configuration", status.configuration);
+    fields.required("pool_holders", status.poolHolders);
     fields.required("members", row.members);
     fields.required("pools", row.pools);
-    fields.required("classes", row.status.classes);
+    fields.required("classes", status.classes);
 }
 
 } // namespace
@@ -105,9 +109,8 @@
     StatusRow row { status, {}, {} };
     for (const auto &member : status.members)
         row.members.push_back({ member });
-    for (const auto &[holder, pool] : status.pools) {
-        auto &poolRow =
-            row.pools.emplace_back(PoolRow { holder, pool.pool, pool.waitingByTier, {} });
+    for (const auto &pool : status.pools) {
+        auto &poolRow = row.pools.emplace_back(PoolRow { pool.pool, pool.waitingByTier, {} });
         for (const auto &server : pool.servers)
             poolRow.servers.push_back({ server });
     }
@@ -120,15 +123,12 @@
     auto status = std::move(row.status);
     for (auto &member : row.members)
         status.members.push_back(std::move(member.member));
-    for (auto &pool : row.pools) {
-        auto &report = status.pools.emplace_back();
-        report.holder = std::move(pool.holder);
-        report.status.pool = pool.pool;
-        report.status.waitingByTier = std::move(pool.waitingByTier);
-        for (auto &server : pool.servers) {
-            server.status.server.pool = pool.pool;
-            report.status.servers.push_back(std::move(server.status));
-        }
+    for (auto &poolRow : row.pools) {
+        auto &pool = status.pools.emplace_back();
+        pool.pool = std::move(poolRow.name);
+        pool.waitingByTier = std::move(poolRow.waitingByTier);
+        for (auto &server : poolRow.servers)
+            pool.servers.push_back(std::move(server.status));
     }
     return status;
 }
--- a/tests/protocol/testplatformcodecs.cpp
+++ b/tests/protocol/testplatformcodecs.cpp
@@ -1,6 +1,7 @@
 #include "crocusport/protocol/claimdocument.h"
 #include "crocusport/protocol/etcdcodec.h"
 #include "crocusport/protocol/hostlistcodec.h"
+#include "crocusport/protocol/statusdocument.h"
 
 #include "protocol/hostileinput.h"
 
@@ -205,3 +206,37 @@
                      { ResultCode::MalformedMessage });
     });
 }
+
+// Guards against an operators' tool that a router of another version crashes or misleads.
+SCENARIO("A router's status is read")
+{
+    const std::string text = R"({"router":"r1","availability_zone":"kudus","region":"java",
+        "ready":true,"added_later":1,"configuration":{"version":7},"members":[{"name":"r1",
+        "state":"suspect","availability_zone":"kudus","region":"java","address":"10.0.0.1:1"}],
+        "pool_holders":{"p":"r2"},"pools":[{"name":"p","waiting_by_tier":[0,1,0,0],
+        "backend_servers":[{"name":"e1","address":"10.0.0.2:1","availability_zone":"kudus",
+        "slots":8,"running":3,"slow_factor":1.5,"excluded_because":"leaving"}]}],
+        "classes":[{"name":"chat","ended":9,"completed":8,"target_met":7}]})";
+
+    THEN("fields that are unknown are ignored, and what was written is read back")
+    {
+        const auto status = valueOf([&] { return parseRouterStatus(text); });
+        REQUIRE(status.has_value());
+        REQUIRE(status->configuration.version == ConfigurationVersion(7));
+        REQUIRE(status->members.at(0).state == MemberState::Suspect);
+        REQUIRE(status->poolHolders.at(PoolName("p")) == RouterName("r2"));
+        REQUIRE(status->pools.at(0).servers.at(0).excludedBecause == "leaving");
+        REQUIRE(status->classes.at(0).targetMet == 7);
+        const auto written = writeRouterStatus(*status);
+        const auto copy = valueOf([&] { return parseRouterStatus(written); });
+        REQUIRE(writeRouterStatus(copy.value()) == written);
+    }
+
+    rc::prop("random and mutated input never crashes and errors are clear", [&] {
+        const auto mutation = hostileInput(text);
+        requireClear(errorOf([&] { return parseRouterStatus(mutation); }),
+                     { ResultCode::MalformedMessage });
+        requireClear(errorOf([&] { return parseExplanation(mutation); }),
+                     { ResultCode::MalformedMessage });
+    });
+}
