StatusScreen: Align the columns of backend servers

A run against two routers and stand-ins showed a heading without a column, and no line for pools that the router holds without requests. The test now compares heading and row.

--- a/src/daemon/statusscreen.cpp
+++ b/src/daemon/statusscreen.cpp
@@ -81,8 +81,8 @@
         + std::to_string(running) + " of " + std::to_string(slots) + " slots, waiting by tier";
     for (const auto waiting : pool.waitingByTier)
         text += ' ' + std::to_string(waiting);
-    TextTable table({ "backend server", "state", "load", "slow factor", "availability zone",
-                      "excluded because" });
+    TextTable table(
+        { "backend server", "load", "slow factor", "availability zone", "excluded because" });
     const auto shown = std::min(servers.size(), kMaxServersPerPool);
     for (std::size_t i = 0; i < shown; ++i) {
         const auto &[server, serverRunning, slowFactor, excludedBecause] = servers[i];
@@ -93,13 +93,18 @@
     return text + "\n" + table.text() + moreText(servers.size(), shown, "backend servers");
 }
 
-//! Pools that other routers hold; those know their load.
+//! Pools of which the router knows no load: those of other holders, and its own without requests.
 std::string otherPoolsText(const RouterStatus &status)
 {
     std::string text;
     for (const auto &[pool, holder] : status.poolHolders) {
-        if (holder != status.router)
-            text += "\npool " + pool.value() + ": held by " + holder.value() + "\n";
+        const auto &name = pool;
+        if (std::any_of(status.pools.begin(), status.pools.end(),
+                        [&name](const auto &known) { return known.pool == name; }))
+            continue;
+        text += "\npool " + pool.value() + ": "
+            + (holder == status.router ? "held here, no requests yet" : "held by " + holder.value())
+            + "\n";
     }
     return text;
 }
--- a/tests/daemon/testoperatortool.cpp
+++ b/tests/daemon/testoperatortool.cpp
@@ -162,6 +162,7 @@
                        { RouterName("r2"), Incarnation(1), SocketAddress("10.0.0.2:1"),
                          AvailabilityZone("salatiga"), Region("java"), MemberState::Dead } };
     status.poolHolders = { { PoolName("assistant"), RouterName("r1") },
+                           { PoolName("calendar"), RouterName("r1") },
                            { PoolName("stock"), RouterName("r2") } };
     PoolStatus pool;
     pool.pool = PoolName("assistant");
@@ -257,7 +258,10 @@
         REQUIRE(at("pool assistant: held here, running 24 of 96 slots, waiting by tier 0 3 0 1")
                 != std::string::npos);
         REQUIRE(at("  e11 ") < at("  e0 "));
-        REQUIRE(at("leaving") != std::string::npos);
+        REQUIRE(at("backend server  load  slow factor  availability zone  excluded because\n"
+                   "  e11             2/8   1.0                             leaving\n")
+                != std::string::npos);
+        REQUIRE(at("pool calendar: held here, no requests yet") != std::string::npos);
         REQUIRE(at("... and 2 more backend servers") != std::string::npos);
         REQUIRE(at("pool stock: held by r2") != std::string::npos);
         REQUIRE(at("chat   1     1400 ms      -       220    200        98.5%")
