Tests: Vary the queue bound and fill the other slots next to a slow server

Cause: two deliberate faults in a scratch copy survived: a bound on tier 1's queue that ignores the slots held by lower tiers, and a slow server that stays open to all. The bound was too large to be reached, and the slow server was avoided by its score alone. Conclusion: the two rules are covered.

--- a/tests/state/testpoolscheduler.cpp
+++ b/tests/state/testpoolscheduler.cpp
@@ -35,8 +35,9 @@
 class UrgentWork
 {
 public:
-    UrgentWork(const SchedulerModel &model, const std::vector<std::uint32_t> &slots)
-        : slots_(std::accumulate(slots.begin(), slots.end(), std::int64_t { 0 })),
+    UrgentWork(const SchedulerModel &model, const std::vector<std::uint32_t> &slots,
+               std::uint32_t bound)
+        : bound_(bound), slots_(std::accumulate(slots.begin(), slots.end(), std::int64_t { 0 })),
           running_(countUrgent(model.running()))
     {
         for (const auto &request : model.waiting()) {
@@ -56,7 +57,7 @@
             return true;
         const auto count = static_cast<std::int64_t>(waiting_.size()) + running_;
         if (refusal.code == static_cast<int>(ResultCode::QueueFull))
-            return count - slots_ > SchedulerModel::defaultPolicy().maxQueuedPerTier;
+            return count - slots_ > bound_;
         const auto &request = found->second;
         const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const auto &other) {
             return other.first != request.request && other.second.deadline <= request.deadline;
@@ -67,6 +68,7 @@
     }
 
 private:
+    std::int64_t bound_;
     std::int64_t slots_;
     std::int64_t running_;
     std::map<RequestId, SlotRequest> waiting_;
@@ -95,7 +97,9 @@
     // Guards against refusing urgent work because of work that is less urgent.
     rc::prop("a tier-1 request is refused only if it would be without the lower tiers", [] {
         const auto slots = anySlots();
-        SchedulerModel model(SchedulerModel::defaultPolicy(), slots);
+        auto policy = SchedulerModel::defaultPolicy();
+        policy.maxQueuedPerTier = *rc::gen::inRange(1U, 13U);
+        SchedulerModel model(policy, slots);
         for (auto call : anyCalls()) {
             if (call.kind == Call::Kind::Submit) {
                 const auto tier = 1 + static_cast<int>(call.first % 3);
@@ -107,7 +111,7 @@
                 call.kind = Call::Kind::Release;
                 model.apply(call);
             } else {
-                const UrgentWork work(model, slots);
+                const UrgentWork work(model, slots, policy.maxQueuedPerTier);
                 const auto elapsed = std::chrono::milliseconds(call.first % 300);
                 for (const auto &refusal : model.decide(elapsed).refusals)
                     RC_ASSERT(work.justifies(refusal, model.now()));
--- a/tests/state/testslowservers.cpp
+++ b/tests/state/testslowservers.cpp
@@ -70,9 +70,16 @@
         // Guards against stragglers in the tail latency, and against never trying them again.
         THEN("it gets at most one request each second, and some")
         {
-            const auto started = runBatches(model, 2, 100, 4, 10);
-            REQUIRE(started.at(BackendServerName("server-0")) <= 11);
-            REQUIRE(started.at(BackendServerName("server-0")) >= 5);
+            const auto lower = runBatches(model, 2, 100, 4, 10);
+            REQUIRE(lower.at(BackendServerName("server-0")) <= 11);
+            REQUIRE(lower.at(BackendServerName("server-0")) >= 5);
+        }
+
+        // Guards against using it like any other as soon as the others are full.
+        THEN("that holds also when no other slot is free")
+        {
+            const auto urgent = runBatches(model, kUrgentTier, 100, 8, 10);
+            REQUIRE(urgent.at(BackendServerName("server-0")) <= 11);
         }
 
         // Guards against probing with the requests that are least able to wait.
