Tests: Guard late grants, idle pools and the fallback's bound

Cause: three trials that broke the code on purpose were still not noticed, because the cluster runs each router often: a grant read after its deadline, the lease of an idle pool, and the bound on local decisions. They are tested at one router now.

--- a/tests/coordination/testslotbroker.cpp
+++ b/tests/coordination/testslotbroker.cpp
@@ -5,7 +5,7 @@
 using namespace crocusport;
 using namespace std::chrono_literals;
 
-SCENARIO("The queue policy decides where requests queue")
+SCENARIO("A router finds slots by its queue policy and returns what it does not use")
 {
     const Instant now(1000s);
     BackendServer server;
@@ -84,7 +84,7 @@
         SlotBroker broker(RouterName("a"), QueuePolicy::Holder, 1);
         broker.setBackendServers({ server }, now);
         std::vector<RouterName> members { RouterName("a") };
-        for (int i = 0; broker.holderOf(server.pool) == RouterName("a"); ++i) {
+        for (int i = 0; i < 4 || broker.holderOf(server.pool) == RouterName("a"); ++i) {
             members.emplace_back("b" + std::to_string(i));
             broker.setMembers(members, now);
         }
@@ -98,9 +98,63 @@
             const auto output = broker.run(now + 20ms);
             THEN("it starts twice its even share and reports them to the holder")
             {
-                REQUIRE(output.grants.size() == std::min<std::size_t>(limit, server.slots));
+                REQUIRE(limit < server.slots);
+                REQUIRE(output.grants.size() == limit);
                 REQUIRE(output.messages.size() == output.grants.size());
             }
         }
     }
+
+    // Guards against a woken router that takes a grant which arrived while it was paused.
+    GIVEN("a request that waits at another router")
+    {
+        SlotBroker broker(RouterName("a"), QueuePolicy::Holder, 1);
+        broker.setMembers({ RouterName("b") }, now);
+        broker.request(request("1"), now);
+        broker.run(now);
+        WHEN("the grant is read after the deadline")
+        {
+            const SlotGrant grant { RequestId("1"), RouterName("a"), server.pool, server.name };
+            broker.handleMessage(RouterName("b"), SlotGrantMessage { grant }, now + 11s);
+            const auto output = broker.run(now + 11s);
+            THEN("the slot is given back and the request is refused")
+            {
+                REQUIRE(output.grants.empty());
+                REQUIRE(output.refusals.size() == 1);
+                REQUIRE(output.messages.size() == 1);
+                const auto &message = std::get<SlotReleaseMessage>(output.messages[0].message);
+                REQUIRE(message.release.reason == ReleaseReason::Cancelled);
+            }
+        }
+    }
+
+    // Guards against a holder that takes the idle time of its pool for a pause of its own and
+    // keeps the slots of lost releases for that time.
+    GIVEN("a holder whose pool was idle for ten minutes")
+    {
+        SlotBroker broker(RouterName("a"), QueuePolicy::Holder, 1);
+        broker.setBackendServers({ server }, now);
+        broker.setMembers({ RouterName("a"), RouterName("b") }, now);
+        const auto ask = [&](const std::string &id, Instant time) {
+            broker.handleMessage(RouterName("b"),
+                                 SlotRequestMessage { request(id), Duration {}, 10s }, time);
+            return broker.run(time).messages.size();
+        };
+        REQUIRE(ask("1", now) == 1);
+        broker.handleMessage(RouterName("b"), SlotCancelMessage { RequestId("1"), server.pool },
+                             now);
+        broker.run(now);
+        REQUIRE(ask("2", now + 600s) == 1);
+
+        THEN("a slot that is not heard of any more is free after 45 s")
+        {
+            auto time = now + 600s;
+            while (const auto next = broker.nextRunTime(time)) {
+                REQUIRE(*next <= now + 645s);
+                time = std::max(*next, time + 1ms);
+                broker.run(time);
+            }
+            REQUIRE(broker.status(time).front().servers.front().running == 0);
+        }
+    }
 }
