HttpClient: Keep up to 1024 idle connections for each address

With 64, a burst of more calls closes connections after it and opens new ones in the next burst. Idle connections are still closed after maxIdle.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -111,7 +111,8 @@
     {
         Duration maxIdle =
             std::chrono::seconds(30); //!< Idle connections older than this are closed.
-        std::size_t maxIdlePerAddress = 64;
+        //! Bursts need as many as their calls run at once: each further one costs a connect.
+        std::size_t maxIdlePerAddress = 1024;
     };
 
     HttpClient(EventLoop &loop, const Options &options);
--- a/tests/transport/testhttpproperties.cpp
+++ b/tests/transport/testhttpproperties.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -76,3 +77,67 @@
         RC_ASSERT(received == sent);
     });
 }
+
+// Guards against a response that reaches another caller (R3), also on reused connections.
+TEST_CASE("Each call gets the response to its own request, in any order")
+{
+    LoopRunner runner;
+    std::vector<std::shared_ptr<HttpExchange>> waiting;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &exchange) { waiting.push_back(exchange); });
+    HttpClient client(runner.loop(), {});
+    int number = 0;
+    rc::check("responses match", [&] {
+        struct Call
+        {
+            std::string body;
+            std::string received;
+            bool isComplete = false;
+            std::unique_ptr<HttpCall> call;
+        };
+        waiting.clear();
+        std::vector<std::unique_ptr<Call>> calls;
+        const auto count = *rc::gen::inRange(1, 20);
+        for (int i = 0; i < count; ++i) {
+            auto &call = *calls.emplace_back(std::make_unique<Call>());
+            call.body = std::to_string(++number);
+            HttpCallRequest request;
+            request.address = server->address();
+            request.method = "POST";
+            request.body = call.body;
+            HttpCallHandlers handlers;
+            handlers.onBody = [&call](std::string_view data) { call.received += data; };
+            handlers.onEnd = [&call](const auto &end) {
+                call.isComplete = end.failure == HttpFailure::None;
+            };
+            call.call = client.start(request, handlers);
+        }
+        RC_ASSERT(
+            runner.runUntil([&] { return waiting.size() == static_cast<std::size_t>(count); }));
+        for (auto &call : calls) {
+            if (*rc::gen::inRange(0, 4) == 0)
+                call->call.reset();
+        }
+        while (!waiting.empty()) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, waiting.size());
+            if (*rc::gen::arbitrary<bool>()) {
+                waiting[at]->reply(200, {}, waiting[at]->body());
+            } else {
+                waiting[at]->startStream(200, {});
+                waiting[at]->sendChunk(waiting[at]->body());
+                waiting[at]->endStream();
+            }
+            waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(at));
+        }
+        RC_ASSERT(runner.runUntil([&] {
+            return std::all_of(calls.begin(), calls.end(),
+                               [](const auto &call) { return !call->call || call->isComplete; });
+        }));
+        for (const auto &call : calls) {
+            if (call->call)
+                RC_ASSERT(call->received == call->body);
+            else
+                RC_ASSERT(call->received.empty());
+        }
+    });
+}
--- a/tests/transport/testhttpserver.cpp
+++ b/tests/transport/testhttpserver.cpp
@@ -426,6 +426,18 @@
         REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
         REQUIRE(exchange->body().empty());
     }
+    // Guards against a caller that waits for permission to send its body (RFC 9110 section 10.1.1).
+    WHEN("the caller expects 100 Continue")
+    {
+        client.send("POST /p HTTP/1.1\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return isAnswered(client, "HTTP/1.1 100"); }));
+        client.send("hello");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+        REQUIRE(exchange->body() == "hello");
+        exchange->reply(200, {}, "done");
+        REQUIRE(
+            runner.runUntil([&] { return client.received().find("done") != std::string::npos; }));
+    }
     WHEN("the body comes slowly")
     {
         client.send("POST /slow HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
