HttpClient: Reject addresses that are no IP address

evhttp resolves a host name with a blocking call, which would stop the loop. Such a call now ends with ConnectFailed.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -28,7 +28,7 @@
 */
 struct HttpCallRequest
 {
-    SocketAddress address;
+    SocketAddress address; //!< An IP address; names are not resolved.
     std::string method = "GET";
     std::string target = "/";
     HttpHeaders headers;
--- a/include/crocusport/transport/httpexchange.h
+++ b/include/crocusport/transport/httpexchange.h
@@ -55,7 +55,10 @@
 
     //! Bytes accepted by sendChunk() that the socket has not taken yet.
     std::size_t bufferedBytes() const;
-    //! Calls \a handler once when the caller has left before the answer was complete.
+    /*!
+        Calls \a handler once when the caller has left before the answer was complete. A caller
+        that closes only its sending direction has left, too.
+    */
     void onClosed(std::function<void()> handler);
     bool isClosed() const;
     bool isStarted() const;
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -71,6 +71,8 @@
 Result<std::unique_ptr<ClientConnection>>
 ClientConnection::create(EventLoop &loop, ConnectionPool &pool, const SocketAddress &address)
 {
+    // evhttp would resolve a name, and block the loop meanwhile.
+    BOOST_LEAF_CHECK(parseSocketAddress(address));
     BOOST_LEAF_AUTO(parts, splitSocketAddress(address));
     auto *const bufferevent = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
     if (!bufferevent)
--- a/src/transport/clientconnection.h
+++ b/src/transport/clientconnection.h
@@ -25,8 +25,8 @@
 class ClientConnection
 {
 public:
-    //! Fails with BadSettings when \a address is not "ip:port". \a pool must outlive the
-    //! connection.
+    //! Fails with BadSettings when \a address is not an IP address and port. \a pool must outlive
+    //! the connection.
     static Result<std::unique_ptr<ClientConnection>> create(EventLoop &loop, ConnectionPool &pool,
                                                             const SocketAddress &address);
     //! Precondition: not called from evhttp, whose functions still use the connection then.
--- a/tests/transport/testhttp.cpp
+++ b/tests/transport/testhttp.cpp
@@ -149,7 +149,7 @@
 
     THEN("so are an address that is none and a target that would inject a header")
     {
-        request.address = SocketAddress("nowhere");
+        request.address = SocketAddress(GENERATE("nowhere", "localhost:80", "127.0.0.1:99999"));
         const auto first = client.start(request, record.handlers());
         REQUIRE(runner.runUntil([&] { return record.end.has_value(); }));
         REQUIRE(record.end->failure == HttpFailure::ConnectFailed);
--- a/tests/transport/testhttpserver.cpp
+++ b/tests/transport/testhttpserver.cpp
@@ -44,6 +44,13 @@
         REQUIRE(runner.runUntil(isClosed));
         REQUIRE((isAnswered(client, "HTTP/1.1 400") || isAnswered(client, "HTTP/1.1 413")));
     }
+    WHEN("a line of the head is too large and does not end")
+    {
+        const auto start = GENERATE("GET /", "GET / HTTP/1.1\r\nX: ");
+        client.send(start + std::string(2000, 'a'));
+        REQUIRE(runner.runUntil(isClosed));
+        REQUIRE((isAnswered(client, "HTTP/1.1 400") || isAnswered(client, "HTTP/1.1 413")));
+    }
     WHEN("the declared body is too large")
     {
         client.send("POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + std::string(1001, 'a'));
