--- a/src/protocol/jsonfields.h
+++ b/src/protocol/jsonfields.h
@@ -1,6 +1,8 @@
 #ifndef CROCUSPORT_JSONFIELDS_H
 #define CROCUSPORT_JSONFIELDS_H
 
+#include "enumnames.h"
+
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 
@@ -25,10 +27,6 @@
 template<typename T, typename Structure>
 concept Is = std::same_as<std::remove_const_t<T>, Structure>;
 
-//! Specialised for each enum that is transmitted; its kNames lists the names by value.
-template<typename Enum>
-struct EnumNames;
-
 //! Longer durations are malformed, so that adding one to a time cannot overflow.
 inline constexpr std::chrono::hours kMaxTransmittedDuration { 24 * 30 };
 
@@ -81,6 +79,7 @@
 
     //! Adds a byte string as base64, which JSON can carry.
     void base64(const char *key, const std::string &value);
+    void optionalBase64(const char *key, const std::optional<std::string> &value);
     //! Adds a 64-bit integer as text, as in the JSON mapping of Protocol Buffers.
     void decimal(const char *key, std::int64_t value) { object_[key] = std::to_string(value); }
 
@@ -156,6 +155,7 @@
 
     //! Reads base64; an absent field is empty, as in the JSON mapping of Protocol Buffers.
     void base64(const char *key, std::string &value);
+    void optionalBase64(const char *key, std::optional<std::string> &value);
     //! Reads a 64-bit integer that may be text; an absent one is 0.
     void decimal(const char *key, std::int64_t &value);
 
