PeerNetwork: Test the replacement of a silent link

A relay that stops to pass bytes on, and with them the end of a connection, stands in for a broken path. Both sides must prefer the new link, whichever of them opens it and whichever name is the smaller one. No fault was found.

--- a/tests/transport/testpeernetwork.cpp
+++ b/tests/transport/testpeernetwork.cpp
@@ -3,6 +3,7 @@
 #include "rawclient.h"
 #include "rawpeer.h"
 #include "rawserver.h"
+#include "relay.h"
 
 #include "crocusport/protocol/peermessagecodec.h"
 
@@ -183,6 +184,47 @@
     REQUIRE(left.network().linkCount() == 1);
 }
 
+SCENARIO("A link that goes silent")
+{
+    LoopRunner runner;
+    // The preference for the link that the smaller name has dialed must not matter here.
+    const bool isDialerSmaller = GENERATE(true, false);
+    PeerNode dialer(runner.loop(), isDialerSmaller ? "a" : "b");
+    PeerNode other(runner.loop(), isDialerSmaller ? "b" : "a");
+    Relay relay(runner.loop(), other.address());
+    dialer.network().connectTo(relay.address());
+    REQUIRE(runner.runUntil([&] { return dialer.hasLink(other) && other.hasLink(dialer); }));
+    relay.goSilent();
+
+    // Guards against a silent link that stays preferred after one side has replaced it.
+    WHEN("the side that dialed it opens a new one")
+    {
+        dialer.network().closeLink(other.name());
+        dialer.ping(other, 1);
+        REQUIRE(runner.runUntil([&] { return other.pingsFrom(dialer).size() == 1; }));
+        other.ping(dialer, 2);
+        REQUIRE(runner.runUntil([&] { return dialer.pingsFrom(other).size() == 1; }));
+    }
+    WHEN("the other side opens a new one")
+    {
+        other.network().closeLink(dialer.name());
+        other.ping(dialer, 1);
+        REQUIRE(runner.runUntil([&] { return dialer.pingsFrom(other).size() == 1; }));
+        dialer.ping(other, 2);
+        REQUIRE(runner.runUntil([&] { return other.pingsFrom(dialer).size() == 1; }));
+    }
+    THEN("one connection remains on each side")
+    {
+        dialer.network().closeLink(other.name());
+        dialer.ping(other, 3);
+        REQUIRE(runner.runUntil([&] {
+            return other.hasLink(dialer) && other.network().connectionCount() == 1
+                && dialer.network().connectionCount() == 1 && other.pingsFrom(dialer).size() == 1;
+        }));
+        REQUIRE(other.downs.empty());
+    }
+}
+
 SCENARIO("A peer that restarts")
 {
     LoopRunner runner;
