FairQueue: Find the largest team in a compact array

Cause: when a queue is at its bound, each refusal scanned the loads of all teams, which are spread over many cache lines. The queue now keeps the number of waiting requests by team in one array. The team with the most waiting requests yields; before, running ones counted too.

--- a/src/state/fairqueue.cpp
+++ b/src/state/fairqueue.cpp
@@ -90,8 +90,10 @@
 
 FairQueue::TeamQueue &FairQueue::teamQueue(TeamIndex team)
 {
-    if (team.value() >= teams_.size())
+    if (team.value() >= teams_.size()) {
         teams_.resize(team.value() + 1);
+        sizes_.resize(team.value() + 1);
+    }
     auto &queue = teams_[team.value()];
     if (!queue) {
         queue = std::make_unique<TeamQueue>();
@@ -132,6 +134,7 @@
     const bool laneWasEmpty = lane.empty();
     lane.insert(record);
     ++size_;
+    ++sizes_[record.team.value()];
     if (!laneWasEmpty)
         return;
     unlink(team);
@@ -144,6 +147,7 @@
     auto &lane = team.lanes[laneOf(record)];
     lane.erase(lane.iterator_to(record));
     --size_;
+    --sizes_[record.team.value()];
     if (lane.empty()) {
         unlink(team);
         link(team);
@@ -156,6 +160,7 @@
     auto &lane = team.lanes[laneOf(record)];
     lane.erase(lane.iterator_to(record));
     --size_;
+    --sizes_[record.team.value()];
     unlink(team);
     virtualTime_ = std::max(virtualTime_, team.startTag);
     team.startTag += record.expected;
@@ -195,10 +200,13 @@
     return team == nullptr ? nullptr : team->front(filter);
 }
 
-RequestRecord *FairQueue::last(TeamIndex team)
+RequestRecord *FairQueue::lastOfLargestTeam()
 {
+    if (size_ == 0)
+        return nullptr;
+    const auto largest = std::max_element(sizes_.begin(), sizes_.end()) - sizes_.begin();
     RequestRecord *last = nullptr;
-    for (auto &lane : teamQueue(team).lanes) {
+    for (auto &lane : teams_[static_cast<std::size_t>(largest)]->lanes) {
         if (!lane.empty() && (last == nullptr || EarlierStart {}(*last, *lane.rbegin())))
             last = &*lane.rbegin();
     }
--- a/src/state/fairqueue.h
+++ b/src/state/fairqueue.h
@@ -45,8 +45,8 @@
 
     //! Returns the request that comes first among those that pass \a filter, or nullptr.
     RequestRecord *front(LaneFilter filter);
-    //! Returns the request of \a team with the latest start, or nullptr.
-    RequestRecord *last(TeamIndex team);
+    //! Returns the request with the latest start of the team with the most, or nullptr.
+    RequestRecord *lastOfLargestTeam();
     std::size_t size() const { return size_; }
 
     /*!
@@ -100,6 +100,8 @@
     TeamQueue *firstTeam(LaneFilter filter);
 
     std::vector<std::unique_ptr<TeamQueue>> teams_;
+    //! By team; apart from the queues, so that the largest is found in a few cache lines.
+    std::vector<std::uint32_t> sizes_;
     TeamOrder<&TeamQueue::anyHook> any_;
     TeamOrder<&TeamQueue::shortHook> short_;
     TeamOrder<&TeamQueue::dueHook> due_;
--- a/src/state/poolschedulerprivate.cpp
+++ b/src/state/poolschedulerprivate.cpp
@@ -356,7 +356,7 @@
         const auto bound = policy.maxQueuedPerTier + (tier == 0 ? lowerRunning_ : 0);
         while (queue_.tier(tier).size() > bound) {
             // The team with the most requests yields, so that a full queue is open to the others.
-            auto &record = *queue_.last(tier, estimator_.largestTeam(tier));
+            auto &record = *queue_.lastOfLargestTeam(tier);
             refuse(record, ResultCode::QueueFull,
                    std::max(estimate(record, now).wait, retryAfter(record, now)));
         }
--- a/src/state/queueestimator.cpp
+++ b/src/state/queueestimator.cpp
@@ -114,27 +114,6 @@
     return std::clamp(used / runningCount, 0.0, 1.0);
 }
 
-TeamIndex QueueEstimator::largestTeam(std::size_t tierIndex) const
-{
-    TeamIndex largest;
-    std::uint32_t most = 0;
-    const auto &loads = tiers_[tierIndex];
-    const auto teamCount = std::max(loads[0].teams.size(), loads[1].teams.size());
-    for (std::uint32_t team = 0; team < teamCount; ++team) {
-        std::uint32_t count = 0;
-        Duration waiting {};
-        for (const auto &load : loads) {
-            count += team < load.teams.size() ? load.teams[team].count : 0;
-            waiting += team < load.teams.size() ? load.teams[team].waiting : Duration {};
-        }
-        if (waiting > Duration::zero() && count > most) {
-            largest = TeamIndex(team);
-            most = count;
-        }
-    }
-    return largest;
-}
-
 Duration QueueEstimator::slotInterval(const RequestRecord &record,
                                       const PoolCapacity &capacity) const
 {
--- a/src/state/queueestimator.h
+++ b/src/state/queueestimator.h
@@ -47,8 +47,6 @@
     */
     QueueEstimate estimate(const RequestRecord &record, Duration aheadInTeam,
                            const PoolCapacity &capacity, Instant now) const;
-    //! Returns the team with the most requests among those that wait in a tier. Linear in teams.
-    TeamIndex largestTeam(std::size_t tierIndex) const;
     //! Returns the mean time between two starts in \a record's queue.
     Duration slotInterval(const RequestRecord &record, const PoolCapacity &capacity) const;
 
--- a/src/state/waitingqueue.h
+++ b/src/state/waitingqueue.h
@@ -44,10 +44,10 @@
     //! Returns the first request of tiers 2 to 4 that passes \a filter, or nullptr.
     RequestRecord *frontLower(LaneFilter filter);
 
-    //! Returns the request of \a team that starts last in its tier, or nullptr.
-    RequestRecord *last(std::size_t tierIndex, TeamIndex team)
+    //! Returns the last request of the team that has the most in a tier, or nullptr.
+    RequestRecord *lastOfLargestTeam(std::size_t tierIndex)
     {
-        return tiers_[tierIndex].last(team);
+        return tiers_[tierIndex].lastOfLargestTeam();
     }
     const FairQueue &tier(std::size_t tierIndex) const { return tiers_[tierIndex]; }
     std::size_t size() const { return giveUps_.size(); }
