Daemon: Watch the health of backend servers from the pool's holder

Cause: a test of an engine that leaves while the host list lags failed: the router that had not sent it a request still sent one after 3 s (testfailures.cpp, 'an engine leaves and the host list does not show it'). The holder of a pool now asks its servers for /healthz each second over a new connection, and gossip spreads what it finds. Excluded: waiting for the 503 of a request, which needs traffic on each router. Crash ids now come from crashId(), so that scheduler and routers count one crash once; seeds go through Membership; timers use the precise clock (up to 4 ms late before).

--- a/src/daemon/peercontrol.cpp
+++ b/src/daemon/peercontrol.cpp
@@ -16,7 +16,6 @@
 
 // Short against the acknowledgement timeout of 250 ms, so that timeouts are noticed in time.
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
-constexpr Duration kSeedRetryInterval = std::chrono::seconds(1);
 
 std::uint64_t randomSeed()
 {
@@ -33,8 +32,7 @@
                                                          std::vector<SocketAddress> seeds,
                                                          Handlers handlers)
 {
-    std::unique_ptr<PeerControl> control(
-        new PeerControl(loop, std::move(seeds), std::move(handlers)));
+    std::unique_ptr<PeerControl> control(new PeerControl(loop, std::move(handlers)));
     PeerNetwork::Handlers networkHandlers;
     networkHandlers.onMessage = [self = control.get()](const RouterName &from,
                                                        PeerMessage message) {
@@ -42,7 +40,6 @@
     };
     networkHandlers.onLinkUp = [self = control.get()](const MemberInfo &peer) {
         LOG(INFO) << LogLine("peer_link_up").add("peer", peer.name.value()).text();
-        self->hasReachedSeed_ = true;
         self->membership_->addPeer(peer, monotonicNow());
         self->flush();
     };
@@ -53,13 +50,13 @@
                       PeerNetwork::create(loop, std::move(options), std::move(networkHandlers)));
     control->membership_ =
         std::make_unique<Membership>(control->network_->self(), MembershipPolicy {}, randomSeed());
-    control->connectToSeeds();
+    control->membership_->setSeeds(std::move(seeds));
     control->tickTimer_.startPeriodic(kTickInterval);
     return control;
 }
 
-PeerControl::PeerControl(EventLoop &loop, std::vector<SocketAddress> seeds, Handlers handlers)
-    : seeds_(std::move(seeds)), handlers_(std::move(handlers)), tickTimer_(loop, [this] { tick(); })
+PeerControl::PeerControl(EventLoop &loop, Handlers handlers)
+    : handlers_(std::move(handlers)), tickTimer_(loop, [this] { tick(); })
 { }
 
 void PeerControl::send(const OutgoingMessage &message)
@@ -95,10 +92,10 @@
 {
     const auto now = monotonicNow();
     membership_->tick(now);
-    if (now >= nextSeedAttempt_ && membership_->liveMembers().size() <= 1)
-        connectToSeeds();
-    for (const auto &address : membership_->takeAddressesToTry(now))
-        network_->connectTo(address);
+    for (const auto &address : membership_->takeAddressesToTry(now)) {
+        if (address != network_->self().address)
+            network_->connectTo(address);
+    }
     for (const auto &peer : membership_->takeStaleLinks())
         network_->closeLink(peer);
     flush();
@@ -114,13 +111,4 @@
         handlers_.onMembersChanged(membership_->liveMembers());
 }
 
-void PeerControl::connectToSeeds()
-{
-    nextSeedAttempt_ = monotonicNow() + kSeedRetryInterval;
-    for (const auto &seed : seeds_) {
-        if (seed != network_->self().address)
-            network_->connectTo(seed);
-    }
-}
-
 } // namespace crocusport
--- a/src/daemon/peercontrol.h
+++ b/src/daemon/peercontrol.h
@@ -42,23 +42,18 @@
 
     const Membership &membership() const { return *membership_; }
     const PeerNetwork &network() const { return *network_; }
-    bool hasReachedSeed() const { return hasReachedSeed_; }
 
 private:
-    PeerControl(EventLoop &loop, std::vector<SocketAddress> seeds, Handlers handlers);
+    PeerControl(EventLoop &loop, Handlers handlers);
 
     void onMessage(const RouterName &from, PeerMessage message);
     void tick();
     void flush();
-    void connectToSeeds();
 
-    std::vector<SocketAddress> seeds_;
     Handlers handlers_;
     std::unique_ptr<PeerNetwork> network_;
     std::unique_ptr<Membership> membership_;
     Timer tickTimer_;
-    Instant nextSeedAttempt_;
-    bool hasReachedSeed_ = false;
 };
 
 } // namespace crocusport
--- a/src/daemon/requestsession.cpp
+++ b/src/daemon/requestsession.cpp
@@ -5,6 +5,7 @@
 #include "crocusport/protocol/chatrequest.h"
 #include "crocusport/protocol/claimdocument.h"
 #include "crocusport/protocol/digest.h"
+#include "crocusport/state/crashledger.h"
 
 #include <glog/logging.h>
 
@@ -373,8 +374,7 @@
         observation.kind = ObservationKind::Leaving;
     } else if (result.condition == BackendCondition::Crashed) {
         observation.kind = ObservationKind::Crashed;
-        // Equal on all routers that see this crash, so that it counts once.
-        observation.crash = server_->name.value() + '@' + std::to_string(server_->start.value());
+        observation.crash = crashId(server_->name, server_->start);
         observation.fingerprint = fingerprint_;
     } else {
         observation.kind = ObservationKind::Suspected;
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -98,6 +98,11 @@
                 }),
       explainer_(loop, settings_.router, journal_,
                  [this](const OutgoingMessage &message) { peers_->send(message); }),
+      health_(loop, httpClient_, backends_,
+              { [this](const PoolName &pool) {
+                   return slots_.broker().holderOf(pool) == settings_.router;
+               },
+                [this](const Observation &observation) { observe(observation); } }),
       tickTimer_(loop, [this] { tick(); }), started_(monotonicNow())
 { }
 
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_ROUTER_H
 #define CROCUSPORT_ROUTER_H
 
+#include "healthmonitor.h"
 #include "manifestwatcher.h"
 #include "operatorservice.h"
 #include "peercontrol.h"
@@ -84,6 +85,7 @@
     RouterServices services_;
     ManifestWatcher manifest_;
     RequestExplainer explainer_;
+    HealthMonitor health_;
     std::unique_ptr<PeerControl> peers_;
     std::unique_ptr<OperatorService> operators_;
     std::unique_ptr<HttpServer> callers_;
--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -40,7 +40,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     std::unique_ptr<EventLoop> loop(new EventLoop);
     loop->signals_ = std::make_unique<SignalHandlers>();
-    loop->base_ = event_base_new();
+    // The coarse clock fires timers up to 4 ms late, too late for the 20 ms wait for a pool holder.
+    const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(),
+                                                                             &event_config_free);
+    if (config && event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER) == 0)
+        loop->base_ = event_base_new_with_config(config.get());
     if (!loop->base_)
         return makeError(ResultCode::InternalError, "cannot create the event loop");
     return loop;
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -87,6 +87,15 @@
         [](const Error &) -> std::optional<PublishedDocument> { return std::nullopt; });
 }
 
+//! Value of the line of a Prometheus text that starts with \a series; -1 without one.
+double valueOf(const std::string &text, const std::string &series)
+{
+    const auto position = text.find("\n" + series);
+    if (position == std::string::npos)
+        return -1;
+    return std::strtod(text.c_str() + text.find(' ', position + 1), nullptr);
+}
+
 } // namespace
 
 Fleet::Fleet()
@@ -273,31 +282,42 @@
     return send(router, std::move(request));
 }
 
-int Fleet::executions(const std::string &service, const std::string &key)
+std::string Fleet::get(const SocketAddress &address, const std::string &target)
 {
     HttpCallRequest request;
-    request.address = backends_.at(service).entry.address;
-    request.target = "/control/executions";
+    request.address = address;
+    request.target = target;
     const auto reply = start(std::move(request));
-    if (!runUntilEnded(reply))
-        return -1;
-    const auto json = nlohmann::json::parse(reply->body, nullptr, false);
+    return runUntilEnded(reply) ? reply->body : "";
+}
+
+int Fleet::executions(const std::string &service, const std::string &key)
+{
+    const auto body = get(backends_.at(service).entry.address, "/control/executions");
+    const auto json = nlohmann::json::parse(body, nullptr, false);
     return json.is_object() ? json.at("keys").value(key, 0) : -1;
 }
 
+std::string Fleet::busyEngine()
+{
+    for (const auto &[name, backend] : backends_) {
+        if (!backend.engine)
+            continue;
+        const auto report = get(backend.entry.address, "/metrics");
+        if (valueOf(report, "engine_requests_running") > 0)
+            return name;
+    }
+    return "";
+}
+
+std::string Fleet::explain(const std::string &router, const std::string &request)
+{
+    return get(routers_.at(router)->operatorsAddress(), "/explain?request=" + request);
+}
+
 double Fleet::metric(const std::string &router, const std::string &series)
 {
-    HttpCallRequest request;
-    request.address = routers_.at(router)->operatorsAddress();
-    request.target = "/metrics";
-    const auto reply = start(std::move(request));
-    if (!runUntilEnded(reply))
-        return -1;
-    const auto position = reply->body.find("\n" + series);
-    if (position == std::string::npos)
-        return -1;
-    const auto space = reply->body.find(' ', position + 1);
-    return std::strtod(reply->body.c_str() + space, nullptr);
+    return valueOf(get(routers_.at(router)->operatorsAddress(), "/metrics"), series);
 }
 
 bool Fleet::runUntil(const std::function<bool()> &condition, Duration limit)
--- a/tests/daemon/fleet.h
+++ b/tests/daemon/fleet.h
@@ -54,6 +54,10 @@
                             const std::string &body);
     //! How often a service ran bookings with the idempotency key; -1 when it does not answer.
     int executions(const std::string &service, const std::string &key);
+    //! Name of an engine that runs a request; empty when none does.
+    std::string busyEngine();
+    //! What a router tells an operator about a request.
+    std::string explain(const std::string &router, const std::string &request);
     //! Value of the line of a router's /metrics that starts with \a series; -1 without one.
     double metric(const std::string &router, const std::string &series);
 
@@ -77,6 +81,8 @@
     Backend &addBackend(const std::string &name, const std::string &pool, std::uint32_t slots);
     void showHosts();
     CallerReplyPointer start(HttpCallRequest request);
+    //! Body of a GET; empty when there is no answer.
+    std::string get(const SocketAddress &address, const std::string &target);
 
     std::unique_ptr<EventLoop> loop_;
     std::unique_ptr<HttpClient> client_;
