--- a/src/daemon/enginecall.cpp
+++ b/src/daemon/enginecall.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::uint32_t kMaxResumesWithoutProgress = 3;
-constexpr std::size_t kMaxErrorBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxErrorBodyBytes = 64UL * 1024;
 constexpr std::string_view kDone = "[DONE]";
 
 std::uint64_t parseEventId(std::string_view text)
--- a/src/daemon/peercontrol.cpp
+++ b/src/daemon/peercontrol.cpp
@@ -35,8 +35,8 @@
     std::unique_ptr<PeerControl> control(new PeerControl(loop, std::move(handlers)));
     PeerNetwork::Handlers networkHandlers;
     networkHandlers.onMessage = [self = control.get()](const RouterName &from,
-                                                       PeerMessage message) {
-        self->onMessage(from, std::move(message));
+                                                       const PeerMessage &message) {
+        self->onMessage(from, message);
     };
     networkHandlers.onLinkUp = [self = control.get()](const MemberInfo &peer) {
         LOG(INFO) << LogLine("peer_link_up").add("peer", peer.name.value()).text();
@@ -81,7 +81,7 @@
     flush();
 }
 
-void PeerControl::onMessage(const RouterName &from, PeerMessage message)
+void PeerControl::onMessage(const RouterName &from, const PeerMessage &message)
 {
     membership_->handleMessage(from, message, monotonicNow());
     handlers_.onMessage(from, message);
--- a/src/daemon/peercontrol.h
+++ b/src/daemon/peercontrol.h
@@ -46,7 +46,7 @@
 private:
     PeerControl(EventLoop &loop, Handlers handlers);
 
-    void onMessage(const RouterName &from, PeerMessage message);
+    void onMessage(const RouterName &from, const PeerMessage &message);
     void tick();
     void flush();
 
--- a/src/daemon/requestsession.cpp
+++ b/src/daemon/requestsession.cpp
@@ -164,7 +164,7 @@
     claim.bodyHash = sha256Hex(exchange_->body());
     claim.deadline = deadline_;
     services_.claims.claim(
-        std::move(claim), monotonicNow(),
+        claim, monotonicNow(),
         [self = shared_from_this()](const ClaimAnswer &answer) { self->onClaimAnswer(answer); });
 }
 
@@ -275,17 +275,17 @@
 {
     auto request = makeCallRequest(server);
     if (admitted_.kind == PoolKind::Service) {
-        serviceCall_ =
-            std::make_unique<ServiceCall>(services_.httpClient, std::move(request),
-                                          [self = shared_from_this()](BackendCallResult result) {
-                                              self->onAttemptEnd(std::move(result));
-                                          });
+        serviceCall_ = std::make_unique<ServiceCall>(
+            services_.httpClient, std::move(request),
+            [self = shared_from_this()](const BackendCallResult &result) {
+                self->onAttemptEnd(result);
+            });
         return;
     }
     engineCall_ = std::make_unique<EngineCall>(
         services_.httpClient, std::move(request), [this](const SseEvent &event) { onEvent(event); },
-        [self = shared_from_this()](BackendCallResult result) {
-            self->onAttemptEnd(std::move(result));
+        [self = shared_from_this()](const BackendCallResult &result) {
+            self->onAttemptEnd(result);
         });
 }
 
@@ -335,7 +335,7 @@
              "the answer is larger than allowed, or the caller reads too slowly", std::nullopt });
 }
 
-void RequestSession::onAttemptEnd(BackendCallResult result)
+void RequestSession::onAttemptEnd(const BackendCallResult &result)
 {
     if (phase_ != Phase::Running)
         return;
@@ -473,8 +473,8 @@
 {
     if (claimAttempt_.empty())
         return;
-    services_.claims.finish(claimAttempt_, claimStateFor(status.outcome),
-                            std::move(storedResponse_), monotonicNow());
+    services_.claims.finish(claimAttempt_, claimStateFor(status.outcome), storedResponse_,
+                            monotonicNow());
     claimAttempt_.clear();
 }
 
--- a/src/daemon/requestsession.h
+++ b/src/daemon/requestsession.h
@@ -58,7 +58,7 @@
     BackendCallRequest makeCallRequest(const BackendServer &server) const;
     void onEvent(const SseEvent &event);
     void onResponseFull();
-    void onAttemptEnd(BackendCallResult result);
+    void onAttemptEnd(const BackendCallResult &result);
     void reportCondition(const BackendCallResult &result);
     void releaseSlot(ReleaseReason reason, const BackendCallResult &result);
     bool mayRetry(const BackendCallResult &result);
--- a/tests/daemon/callerreply.cpp
+++ b/tests/daemon/callerreply.cpp
@@ -38,7 +38,7 @@
 
 std::string CallerReply::outcome() const
 {
-    const auto fromHeader = header("x-crocusport-outcome");
+    auto fromHeader = header("x-crocusport-outcome");
     if (!fromHeader.empty())
         return fromHeader;
     static constexpr std::string_view kEvent = "event: crocusport.outcome\ndata: ";
