Router: Use the status document, the acknowledge timeout and the stream limit

Cause: the read-through found /status and /explain written twice, and the settings limits.max_streams and timeouts.holder_ack_ms without effect. Excluded: removing the settings, since operators need both. Conclusion: settings do what their page says.

--- a/include/crocusport/coordination/slotbroker.h
+++ b/include/crocusport/coordination/slotbroker.h
@@ -21,10 +21,12 @@
     std::vector<SlotRefusal> refusals; //!< For requests of this router.
 };
 
+inline constexpr Duration kDefaultAcknowledgeTimeout = std::chrono::milliseconds(20);
+
 /*!
     Obtains slots for this router's requests, and holds the queues of the pools whose holder this
     router is (docs/design.md sections 3 and 4.1). When a pool's holder does not acknowledge a
-    request within 20 ms, decides from local knowledge. When the holder of a pool changes, repeats
+    request in time, decides from local knowledge. When the holder of a pool changes, repeats
    the waiting and running requests to the new one.
 
     Pure: time is an argument. Thread safety: none; use from one thread.
@@ -37,6 +39,8 @@
     SlotBroker(const SlotBroker &) = delete;
     SlotBroker &operator=(const SlotBroker &) = delete;
 
+    //! How long the holder of a pool may take to acknowledge a request.
+    void setAcknowledgeTimeout(Duration timeout);
     void setConfiguration(std::shared_ptr<const Configuration> configuration, Instant now);
     //! \a liveMembers includes this router unless it is leaving.
     void setMembers(const std::vector<RouterName> &liveMembers, Instant now);
--- a/src/coordination/slotbroker.cpp
+++ b/src/coordination/slotbroker.cpp
@@ -13,6 +13,11 @@
 
 SlotBroker::~SlotBroker() = default;
 
+void SlotBroker::setAcknowledgeTimeout(Duration timeout)
+{
+    d_->acknowledgeTimeout = timeout;
+}
+
 void SlotBroker::setConfiguration(std::shared_ptr<const Configuration> configuration,
                                   Instant /*now*/)
 {
--- a/src/coordination/slotbrokerprivate.cpp
+++ b/src/coordination/slotbrokerprivate.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 //! Time for the holder's first answer (docs/design.md section 4.1).
-constexpr Duration kAcknowledgeTimeout = std::chrono::milliseconds(20);
 //! A new holder waits this long for running requests to be repeated to it.
 constexpr Duration kGraceTime = std::chrono::milliseconds(150);
 //! Waiting requests are repeated at growing intervals, so that long queues cost few messages.
@@ -94,7 +93,7 @@
         requests.setTimer(own, now + kRunningRepeat);
     } else if (own.state != OwnRequestState::Local) {
         own.state = OwnRequestState::Asked;
-        requests.setTimer(own, std::min(now + kAcknowledgeTimeout, own.request.deadline));
+        requests.setTimer(own, std::min(now + acknowledgeTimeout, own.request.deadline));
     }
 }
 
@@ -129,7 +128,7 @@
         // The grant may have been lost, or the holder may have been paused or restarted.
         own.state = OwnRequestState::Asked;
         askRemote(own, now);
-        requests.setTimer(own, std::min(now + kAcknowledgeTimeout, own.request.deadline));
+        requests.setTimer(own, std::min(now + acknowledgeTimeout, own.request.deadline));
         break;
     case OwnRequestState::Local:
         askRemote(own, now);
--- a/src/coordination/slotbrokerprivate.h
+++ b/src/coordination/slotbrokerprivate.h
@@ -59,6 +59,7 @@
     RouterName self;
     QueuePolicy policy;
     std::uint64_t seed;
+    Duration acknowledgeTimeout = kDefaultAcknowledgeTimeout;
     BackendServers servers;
     std::vector<RouterName> live;
     std::vector<RouterName> known;          //!< Live and leaving members.
--- a/src/daemon/backendcallrequest.h
+++ b/src/daemon/backendcallrequest.h
@@ -9,6 +9,8 @@
 
 namespace crocusport {
 
+struct Settings;
+
 //! One attempt on a backend server.
 struct BackendCallRequest
 {
@@ -26,6 +28,13 @@
     std::size_t maxEventBytes = 0;
 };
 
+/*!
+    Returns a call of a repeatable request to \a server with the caller's method, target and the
+    headers that are passed on, and without attempt and body. Loop thread only.
+*/
+BackendCallRequest makeBackendCallRequest(const Settings &settings, const HttpExchange &exchange,
+                                          const BackendServer &server);
+
 } // namespace crocusport
 
 #endif // CROCUSPORT_BACKENDCALLREQUEST_H
--- a/src/daemon/operatorservice.cpp
+++ b/src/daemon/operatorservice.cpp
@@ -1,6 +1,6 @@
 #include "operatorservice.h"
 
-#include <nlohmann/json.hpp>
+#include "crocusport/protocol/statusdocument.h"
 
 #include <utility>
 
@@ -75,12 +75,10 @@
         replyJson(*exchange, 400, R"({"error":"the parameter request is missing"})");
         return;
     }
-    sources_.explain(
-        RequestId(*request), [exchange, id = *request](const std::vector<std::string> &events) {
-            const nlohmann::json json { { "request", id }, { "events", events } };
-            replyJson(*exchange, events.empty() ? 404 : 200,
-                      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-        });
+    const RequestId id(*request);
+    sources_.explain(id, [exchange, id](const std::vector<std::string> &events) {
+        replyJson(*exchange, events.empty() ? 404 : 200, writeExplanation({ id, events }));
+    });
 }
 
 } // namespace crocusport
--- a/src/daemon/requestmetrics.cpp
+++ b/src/daemon/requestmetrics.cpp
@@ -57,10 +57,10 @@
         counter = &requests_.Add(labels);
     }
     counter->Increment();
-    auto &attainment = attainment_[ClassName(series.labels.at("class"))];
-    ++attainment.ended;
-    attainment.completed += measurement.outcome == Outcome::Completed ? 1 : 0;
-    attainment.targetMet += measurement.isTargetMet ? 1 : 0;
+    auto &report = classReports_[ClassName(series.labels.at("class"))];
+    ++report.ended;
+    report.completed += measurement.outcome == Outcome::Completed ? 1 : 0;
+    report.targetMet += measurement.isTargetMet ? 1 : 0;
     if (measurement.queueWait)
         series.queueWait->Observe(toSeconds(*measurement.queueWait));
     if (measurement.firstToken)
@@ -111,14 +111,15 @@
         .Increment();
 }
 
-std::vector<ClassAttainment> RequestMetrics::attainment() const
+std::vector<ClassReport> RequestMetrics::classReports() const
 {
-    std::vector<ClassAttainment> all;
-    for (const auto &[name, attainment] : attainment_) {
-        all.push_back(attainment);
-        all.back().requestClass = name;
+    std::vector<ClassReport> reports;
+    reports.reserve(classReports_.size());
+    for (const auto &[name, report] : classReports_) {
+        reports.push_back(report);
+        reports.back().name = name;
     }
-    return all;
+    return reports;
 }
 
 std::string RequestMetrics::text() const
--- a/src/daemon/requestmetrics.h
+++ b/src/daemon/requestmetrics.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_REQUESTMETRICS_H
 #define CROCUSPORT_REQUESTMETRICS_H
 
+#include "crocusport/protocol/statusdocument.h"
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 #include "crocusport/state/outcome.h"
@@ -36,15 +37,6 @@
     bool isTargetMet = false;
 };
 
-//! How many requests of a class met its targets, since the router's start.
-struct ClassAttainment
-{
-    ClassName requestClass;
-    std::uint64_t ended = 0;
-    std::uint64_t completed = 0;
-    std::uint64_t targetMet = 0;
-};
-
 /*!
     Metrics in Prometheus text format. Label sets are bounded: classes and teams come from the
     configuration, and sets beyond kMaxLabelSets share the label "other".
@@ -63,7 +55,7 @@
     void setGauge(const std::string &name, const std::string &help, double value);
     void countRetry(const ClassName &requestClass, bool isAllowed);
     //! One entry for each class that had requests.
-    std::vector<ClassAttainment> attainment() const;
+    std::vector<ClassReport> classReports() const;
     //! All metrics in the text exposition format, version 0.0.4.
     std::string text() const;
 
@@ -91,7 +83,7 @@
     prometheus::Family<prometheus::Histogram> &answer_;
     prometheus::Family<prometheus::Histogram> &outputTokens_;
     std::map<std::pair<ClassName, TeamName>, Series> series_;
-    std::map<ClassName, ClassAttainment> attainment_;
+    std::map<ClassName, ClassReport> classReports_;
     std::map<std::string, prometheus::Gauge *> gauges_;
 };
 
--- a/src/daemon/requestsession.cpp
+++ b/src/daemon/requestsession.cpp
@@ -9,7 +9,6 @@
 
 #include <glog/logging.h>
 
-#include <array>
 #include <utility>
 
 namespace crocusport {
@@ -19,15 +18,10 @@
 constexpr std::uint32_t kMaxAttempts = 3;
 // A caller that reads slower than the engine writes may be this far behind.
 constexpr std::size_t kMaxBufferedBytes = 1024UL * 1024;
-constexpr std::size_t kMaxEventBytes = 256UL * 1024;
 // Told to callers when no estimate exists, such as before the first configuration.
 constexpr Duration kDefaultRetryAfter = std::chrono::seconds(1);
 constexpr std::string_view kClaimPrefix = "/crocusport/claims/";
 
-// Headers of the caller that a backend server gets as they are.
-constexpr std::array kForwardedHeaders = { "Content-Type", "Accept", "X-Team", "X-Class",
-                                           "Idempotency-Key" };
-
 } // namespace
 
 void RequestSession::start(RouterServices &services, std::shared_ptr<HttpExchange> exchange)
@@ -82,6 +76,8 @@
         return makeError(ResultCode::RouterStopping, "this router is shutting down");
     if (!configuration_)
         return makeError(ResultCode::NotConfigured, "this router has no configuration yet");
+    if (services_.openRequests > services_.settings.limits.maxStreams)
+        return makeError(ResultCode::QueueFull, "this router has too many open requests");
     BOOST_LEAF_ASSIGN(admitted_, admitRequest(*configuration_, *exchange_));
     measurement_.requestClass = admitted_.requestClass.name;
     measurement_.team = admitted_.team;
@@ -291,25 +287,15 @@
 
 BackendCallRequest RequestSession::makeCallRequest(const BackendServer &server) const
 {
-    const auto &timeouts = services_.settings.timeouts;
-    BackendCallRequest request;
-    request.server = server;
+    auto request = makeBackendCallRequest(services_.settings, *exchange_, server);
     request.attempt = attemptId_;
-    request.method = exchange_->method();
-    request.target = exchange_->target();
-    for (const auto *name : kForwardedHeaders) {
-        if (auto value = exchange_->header(name))
-            request.headers.emplace_back(name, std::move(*value));
-    }
     request.body = forwardBody_;
-    request.connection = isRepeatable() ? ConnectionUse::Pooled : ConnectionUse::Fresh;
-    request.connectTimeout = timeouts.connect;
+    if (isRepeatable())
+        return request;
+    request.connection = ConnectionUse::Fresh;
     // A call that may not be repeated is waited for until its deadline, since giving it up early
     // would leave its outcome unknown.
-    request.progressTimeout = isRepeatable() ? timeouts.progress : deadline_ - attemptStarted_;
-    request.probeTimeout = timeouts.connect;
-    request.maxResponseBytes = services_.settings.limits.maxResponseBytes;
-    request.maxEventBytes = kMaxEventBytes;
+    request.progressTimeout = deadline_ - attemptStarted_;
     return request;
 }
 
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -2,11 +2,11 @@
 
 #include "logline.h"
 #include "requestsession.h"
-#include "routerstatus.h"
 
 #include "crocusport/protocol/claimdocument.h"
 #include "crocusport/protocol/configurationdocument.h"
 #include "crocusport/protocol/digest.h"
+#include "crocusport/protocol/statusdocument.h"
 
 #include <glog/logging.h>
 
@@ -104,7 +104,9 @@
                },
                 [this](const Observation &observation) { observe(observation); } }),
       tickTimer_(loop, [this] { tick(); }), started_(monotonicNow())
-{ }
+{
+    slots_.setAcknowledgeTimeout(settings_.timeouts.holderAck);
+}
 
 Result<void> Router::startPeers()
 {
@@ -287,14 +289,29 @@
 
 std::string Router::statusJson() const
 {
-    RouterStatusSources sources { settings_, *peers_, configuration_, slots_, manifest_, 0, false,
-                                  {},        {} };
-    sources.openRequests = services_.openRequests;
-    sources.isReady = isReady();
-    sources.uptime = monotonicNow() - started_;
+    const auto now = monotonicNow();
+    const auto &current = configuration_.configuration();
+    RouterStatus status;
+    status.router = settings_.router;
+    status.zone = settings_.zone;
+    status.region = settings_.region;
+    status.isReady = isReady();
+    status.uptimeSeconds = toSeconds(now - started_);
+    status.openRequests = services_.openRequests;
+    status.configuration.version = configuration_.version();
+    status.configuration.publishId = current ? current->publishId : "";
+    status.configuration.isStoreWatcher = manifest_.isWatching();
+    status.configuration.isStoreReachable = manifest_.isStoreReachable();
     if (adoptedAt_)
-        sources.configurationAge = monotonicNow() - *adoptedAt_;
-    return routerStatusJson(sources, metrics_);
+        status.configuration.ageSeconds = toSeconds(now - *adoptedAt_);
+    status.members = peers_->membership().members();
+    if (current) {
+        for (const auto &[name, policy] : current->pools)
+            status.poolHolders[name] = slots_.broker().holderOf(name);
+    }
+    status.pools = slots_.broker().status(now);
+    status.classes = metrics_.classReports();
+    return writeRouterStatus(status);
 }
 
 std::string Router::metricsText()
--- a/src/daemon/slotdispatcher.h
+++ b/src/daemon/slotdispatcher.h
@@ -39,6 +39,7 @@
     SlotDispatcher(EventLoop &loop, const RouterName &self, QueuePolicy policy, std::uint64_t seed,
                    Sender send);
 
+    void setAcknowledgeTimeout(Duration timeout) { broker_.setAcknowledgeTimeout(timeout); }
     //! Asks for a slot for \a request; \a waiter hears the decision unless it is gone by then.
     void request(const SlotRequest &request, const std::shared_ptr<SlotWaiter> &waiter);
     void cancel(const RequestId &request);
