RequestSession: Never report 'not run' after an attempt that may have run

Cause: found on reading: when a deadline passed while a retry waited for a slot, or the granted server had left, the caller was told 'not run' although the first attempt may have run. Excluded: checks at each place that ends a request; all pass through finish(). Conclusion: one place decides about 'not run'.

--- a/src/daemon/attemptpolicy.cpp
+++ b/src/daemon/attemptpolicy.cpp
@@ -78,6 +78,15 @@
     return statusForLost(context);
 }
 
+AnswerStatus withCertainty(AnswerStatus status, const AttemptContext &context)
+{
+    if (status.outcome != Outcome::NotRun || context.isNotRunSoFar)
+        return status;
+    status.outcome = context.repeat == RepeatRule::Repeatable ? Outcome::Failed : Outcome::Unknown;
+    status.retryAfter.reset();
+    return status;
+}
+
 AnswerStatus statusForClaim(ClaimResult result)
 {
     switch (result) {
--- a/src/daemon/attemptpolicy.h
+++ b/src/daemon/attemptpolicy.h
@@ -34,6 +34,12 @@
 //! What the caller is told when no further attempt follows. Safe from any thread.
 AnswerStatus statusForAttempt(BackendCallEnd end, const AttemptContext &context);
 
+/*!
+    Returns \a status, or Failed or Unknown in place of NotRun when an attempt can have run: a
+    deadline that passes while a retry waits does not undo the attempt before. Safe from any thread.
+*/
+AnswerStatus withCertainty(AnswerStatus status, const AttemptContext &context);
+
 //! What the caller is told when its claim was not granted. Precondition: not Granted.
 AnswerStatus statusForClaim(ClaimResult result);
 
--- a/src/daemon/requestsession.cpp
+++ b/src/daemon/requestsession.cpp
@@ -258,9 +258,7 @@
         return;
     const auto code = static_cast<ResultCode>(refusal.code);
     const bool isSuspected = code == ResultCode::SuspectedCrashCause;
-    // After an attempt that may have run, the refusal of the retry does not make it "not run".
-    const bool hasRun = attempts_ > 1 && !isNotRunSoFar_;
-    const auto outcome = isSuspected || hasRun ? Outcome::Failed : Outcome::NotRun;
+    const auto outcome = isSuspected ? Outcome::Failed : Outcome::NotRun;
     AnswerStatus status { outcome, code, std::string(resultCodeName(code)), std::nullopt };
     if (!isSuspected)
         status.retryAfter = refusal.retryAfter;
@@ -419,8 +417,9 @@
 
 void RequestSession::finish(const AnswerStatus &status)
 {
-    response_->finish(status);
-    end(status);
+    const auto certain = withCertainty(status, attemptContext());
+    response_->finish(certain);
+    end(certain);
 }
 
 void RequestSession::finishWithBody(const AnswerStatus &status, const BackendCallResult &result)
--- a/tests/daemon/fleet.cpp
+++ b/tests/daemon/fleet.cpp
@@ -298,13 +298,16 @@
     return json.is_object() ? json.at("keys").value(key, 0) : -1;
 }
 
+bool Fleet::isBusy(const std::string &engine)
+{
+    const auto report = get(backends_.at(engine).entry.address, "/metrics");
+    return valueOf(report, "engine_requests_running") > 0;
+}
+
 std::string Fleet::busyEngine()
 {
     for (const auto &[name, backend] : backends_) {
-        if (!backend.engine)
-            continue;
-        const auto report = get(backend.entry.address, "/metrics");
-        if (valueOf(report, "engine_requests_running") > 0)
+        if (backend.engine && isBusy(name))
             return name;
     }
     return "";
--- a/tests/daemon/fleet.h
+++ b/tests/daemon/fleet.h
@@ -54,6 +54,8 @@
                             const std::string &body);
     //! How often a service ran bookings with the idempotency key; -1 when it does not answer.
     int executions(const std::string &service, const std::string &key);
+    //! Whether an engine runs a request.
+    bool isBusy(const std::string &engine);
     //! Name of an engine that runs a request; empty when none does.
     std::string busyEngine();
     //! What a router tells an operator about a request.
--- a/tests/daemon/testfailures.cpp
+++ b/tests/daemon/testfailures.cpp
@@ -146,6 +146,40 @@
     }
 }
 
+SCENARIO("A request whose first attempt may have run is never reported as not run")
+{
+    Fleet fleet;
+    EngineOptions single = smallEngine();
+    single.slots = 1;
+    fleet.addEngine("engine-1", single);
+    fleet.addEngine("engine-2", single);
+    fleet.publish([](Configuration &configuration) {
+        configuration.classes.at(ClassName("chat")).deadline = Milliseconds(1500);
+    });
+    fleet.addRouter("router-1");
+    REQUIRE(fleet.runUntilReady());
+
+    WHEN("its engine crashes and its deadline passes while it waits for the other one")
+    {
+        const auto holding = fleet.chat("router-1", "tag", streamBody(5000));
+        REQUIRE(fleet.runUntil([&] { return holding->tokenCount() > 0; }));
+        const auto taken = fleet.busyEngine();
+        const std::string other = taken == "engine-1" ? "engine-2" : "engine-1";
+        const auto reply = fleet.chat(
+            "router-1", "chat",
+            R"({"model":"m","messages":[{"role":"user","content":"hello"}],"max_tokens":5000})");
+        REQUIRE(fleet.runUntil([&] { return fleet.isBusy(other); }));
+        fleet.crash(other);
+        REQUIRE(fleet.runUntilEnded(reply));
+
+        // Guards against a final answer that forgets the attempt before the last one.
+        THEN("the caller is not told that it was not run")
+        {
+            REQUIRE(reply->outcome() == "failed");
+        }
+    }
+}
+
 SCENARIO("A request that crashes engines is stopped after two of them")
 {
     Fleet fleet;
