--- /dev/null
+++ b/src/gateway/formattable.h
@@ -0,0 +1,42 @@
+#ifndef CROCUSPORT_FORMATTABLE_H
+#define CROCUSPORT_FORMATTABLE_H
+
+#include "crocusport/gateway/wiremessages.h"
+
+namespace crocusport {
+
+//! The functions of a WireFormats, so that the gateway is compiled once for all formats.
+struct FormatTable
+{
+    IncomingRequest (*decodeRequest)(const HttpExchange &);
+    HttpHeaders (*attemptHeaders)(const IncomingRequest &, const AttemptHead &);
+    AnswerHead (*decodeAnswer)(int, const HttpHeaders &);
+    std::string_view (*readyTarget)();
+    HttpCallRequest (*rangeCall)(const std::string &, const std::string &);
+    Result<StorePage> (*decodeRange)(std::string_view);
+    HttpCallRequest (*watchCall)(const std::string &, StoreRevision);
+    Result<StorePage> (*decodeWatch)(std::string_view);
+    HttpCallRequest (*grantLeaseCall)(Milliseconds);
+    Result<std::uint64_t> (*decodeLease)(std::string_view);
+    HttpCallRequest (*keepLeaseCall)(std::uint64_t);
+    HttpCallRequest (*putCall)(const std::string &, const std::string &, std::uint64_t);
+    bool (*isConfigurationKey)(const std::string &);
+    Result<RoutingConfiguration> (*decodeConfiguration)(std::string_view);
+    std::optional<BackendServerName> (*serverNameOfKey)(const std::string &);
+    Result<ServerEntry> (*decodeServer)(const BackendServerName &, std::string_view);
+};
+
+template<WireFormats Formats>
+constexpr FormatTable formatTable()
+{
+    return { Formats::decodeRequest,      Formats::attemptHeaders,      Formats::decodeAnswer,
+             Formats::readyTarget,        Formats::rangeCall,           Formats::decodeRange,
+             Formats::watchCall,          Formats::decodeWatch,         Formats::grantLeaseCall,
+             Formats::decodeLease,        Formats::keepLeaseCall,       Formats::putCall,
+             Formats::isConfigurationKey, Formats::decodeConfiguration, Formats::serverNameOfKey,
+             Formats::decodeServer };
+}
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_FORMATTABLE_H
--- /dev/null
+++ b/src/gateway/forwardedrequest.cpp
@@ -0,0 +1,574 @@
+#include "forwardedrequest.h"
+
+#include "crocusport/transport/eventloop.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kTimeout = 408;
+constexpr int kTooManyRequests = 429;
+constexpr int kServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// A router that does not know the newest configuration rejects nothing as unknown.
+constexpr Duration kMaxAgeForDenial = std::chrono::milliseconds(1500);
+// Keys are refused this long before the bound, for the way to the server.
+constexpr Duration kRevocationMargin = std::chrono::milliseconds(500);
+// New connections inside a region take milliseconds; a lost packet is sent again after 200 ms.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// Attempts that found no connection, and so cost nothing but time.
+constexpr int kMaxUnsentAttempts = 4;
+// Attempts that a server may refuse as not run, beyond those that may run.
+constexpr int kMaxRefusedAttempts = 2;
+// Silence after which a request that may run again is sent to another server.
+constexpr Duration kIdempotentSilence = std::chrono::milliseconds(1700);
+// Share of the latency objective for which a request waits for a place.
+constexpr double kWaitShare = 0.5;
+// Advice to callers when the router itself cannot serve.
+constexpr Duration kRetryAfterUnready = std::chrono::milliseconds(500);
+// Advice to callers of a request that was under way in several crashes.
+constexpr Duration kRetryAfterCrashes = std::chrono::seconds(30);
+// An answer that its caller does not read ends when this much waits.
+constexpr std::size_t kMaxUnreadBytes = 2UL * 1024 * 1024;
+// Urgency values that backend servers know.
+constexpr int kMaxUrgency = 9;
+
+HttpHeaders retryAfterHeader(Duration delay)
+{
+    // Seconds with three digits, which callers accept.
+    const auto ms = std::chrono::duration_cast<Milliseconds>(delay).count();
+    auto fraction = std::to_string(1000 + ms % 1000).substr(1);
+    return { { "Retry-After", std::to_string(ms / 1000) + '.' + fraction } };
+}
+
+//! Statuses that promise that the request has not run.
+bool isPromise(int status)
+{
+    return status == kTimeout || status == kTooManyRequests || status == kUnavailable;
+}
+
+} // namespace
+
+void ForwardedRequest::start(GatewayServices &services, std::shared_ptr<HttpExchange> exchange)
+{
+    const auto request = std::make_shared<ForwardedRequest>(services, std::move(exchange));
+    services.open.insert(request);
+    request->begin();
+}
+
+ForwardedRequest::ForwardedRequest(GatewayServices &services,
+                                   std::shared_ptr<HttpExchange> exchange)
+    : services_(services), exchange_(std::move(exchange)),
+      deadlineTimer_(services.loop, [this] { onDeadline(); }),
+      waitTimer_(services.loop, [this] { onWaitedTooLong(); })
+{ }
+
+ForwardedRequest::~ForwardedRequest() = default;
+
+void ForwardedRequest::begin()
+{
+    request_ = services_.formats.decodeRequest(*exchange_);
+    table_ = services_.table();
+    if (!table_) {
+        refuse(kUnavailable, ResultCode::NotConfigured, kRetryAfterUnready);
+        return;
+    }
+    if (request_.id.empty()) {
+        refuse(kBadRequest, ResultCode::BadHeader);
+        return;
+    }
+    if (!findRoute() || !findTeam())
+        return;
+    deadline_ = exchange_->arrival() + route_.timeout;
+    if (request_.timeLimit)
+        deadline_ = std::min(deadline_, exchange_->arrival() + *request_.timeLimit);
+    choosePool();
+    describeWork();
+    if (services_.crashes.refusedUntil(fingerprint_, monotonicNow())) {
+        refuse(kUnavailable, ResultCode::SuspectedCrashCause, kRetryAfterCrashes);
+        return;
+    }
+    const auto self = shared_from_this();
+    exchange_->onClosed([this] { onCallerLeft(); });
+    deadlineTimer_.startOnce(std::max(deadline_ - monotonicNow(), Duration::zero()));
+    services_.retryWindow(pool_).noteRequest(monotonicNow());
+    lastEventId_ = request_.lastEventId;
+    place();
+}
+
+bool ForwardedRequest::findRoute()
+{
+    const auto *const route = table_->findRoute(request_.host, exchange_->path());
+    if (route && !route->pools.empty()) {
+        route_ = *route;
+        return true;
+    }
+    if (services_.configurationAge() > kMaxAgeForDenial)
+        refuse(kUnavailable, ResultCode::NotConfigured, kRetryAfterUnready);
+    else
+        refuse(kNotFound, ResultCode::NoSuchRoute);
+    return false;
+}
+
+bool ForwardedRequest::findTeam()
+{
+    priority_ = route_.priority;
+    if (!table_->hasTeams())
+        return true;
+    const auto age = services_.configurationAge();
+    const auto *const team = request_.key ? table_->findTeam(*request_.key) : nullptr;
+    if (!team) {
+        if (route_.allowsAnonymous)
+            return true;
+        if (age > kMaxAgeForDenial)
+            refuse(kUnavailable, ResultCode::NotConfigured, kRetryAfterUnready);
+        else
+            refuse(kUnauthorized, ResultCode::BadCredential);
+        return false;
+    }
+    if (services_.settings.isRevocationStrict
+        && age > services_.settings.revocationBound - kRevocationMargin) {
+        refuse(kUnavailable, ResultCode::StoreUnavailable, kRetryAfterUnready);
+        return false;
+    }
+    team_ = team->name;
+    priority_ = team->priority.value_or(route_.priority);
+    return true;
+}
+
+void ForwardedRequest::choosePool()
+{
+    double sum = 0;
+    for (const auto &pool : route_.pools)
+        sum += pool.weight;
+    std::uniform_real_distribution<double> distribution(0, sum);
+    double drawn = distribution(services_.random);
+    pool_ = route_.pools.back().pool;
+    for (const auto &pool : route_.pools) {
+        if (drawn < pool.weight) {
+            pool_ = pool.pool;
+            break;
+        }
+        drawn -= pool.weight;
+    }
+}
+
+void ForwardedRequest::describeWork()
+{
+    work_.parts = request_.parts;
+    work_.chains = chainHashes(request_.parts);
+    work_.promptTokens = request_.promptTokens;
+    work_.outputTokens = request_.expectedOutputTokens.value_or(request_.maxOutputTokens);
+    if (route_.kind == RequestKind::Stream)
+        work_.sensitivity = pauseSensitivity(route_.maxPause, work_.outputTokens);
+    const auto target = exchange_->target();
+    auto hash = XXH64(target.data(), target.size(), 0);
+    if (request_.key)
+        hash = XXH64(request_.key->data(), request_.key->size(), hash);
+    // Requests without a body are told apart by nothing that could crash a server.
+    fingerprint_ = exchange_->body().empty()
+        ? Fingerprint(0)
+        : Fingerprint(XXH64(exchange_->body().data(), exchange_->body().size(), hash));
+}
+
+// The configuration may have changed while the request waited.
+bool ForwardedRequest::isStillAllowed() const
+{
+    const auto current = services_.table();
+    if (current == table_)
+        return true;
+    if (!current->findRoute(request_.host, exchange_->path()))
+        return false;
+    return team_.value().empty() || current->findTeam(*request_.key);
+}
+
+void ForwardedRequest::place()
+{
+    if (!tryPlace())
+        wait();
+}
+
+bool ForwardedRequest::tryPlace()
+{
+    if (!isStillAllowed()) {
+        finishFault(ResultCode::NotConfigured);
+        return true;
+    }
+    const auto choice = services_.selector.choose(pool_, services_.table()->findPool(pool_), work_,
+                                                  excluded_, monotonicNow());
+    if (!choice.server)
+        return false;
+    startAttempt(choice);
+    return true;
+}
+
+void ForwardedRequest::wait()
+{
+    const auto latestStart = exchange_->arrival() + route_.target;
+    const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+    ticket_ = services_.waiting.add(pool_, priority_, latestStart, [weak] {
+        const auto self = weak.lock();
+        if (!self || self->isEnded_ || !self->ticket_)
+            return true;
+        const auto ticket = std::exchange(self->ticket_, std::nullopt);
+        if (self->tryPlace()) {
+            self->waitTimer_.stop();
+            return true;
+        }
+        self->ticket_ = ticket;
+        return false;
+    });
+    const auto now = monotonicNow();
+    const auto limit =
+        exchange_->arrival() + std::chrono::duration_cast<Duration>(route_.target * kWaitShare);
+    if (!waitTimer_.isActive())
+        waitTimer_.startOnce(std::max(limit - now, Duration::zero()));
+}
+
+void ForwardedRequest::onWaitedTooLong()
+{
+    const auto self = shared_from_this();
+    if (ticket_)
+        services_.waiting.remove(pool_, *std::exchange(ticket_, std::nullopt));
+    finishFault(ResultCode::QueueFull);
+}
+
+void ForwardedRequest::startAttempt(const ServerSelector::Choice &choice)
+{
+    const auto now = monotonicNow();
+    table_ = services_.table();
+    server_ = choice.server;
+    load_ = choice.added;
+    server_->own += load_;
+    services_.loadChanged();
+    const auto hash = serverHash(server_->entry.name);
+    for (const auto chain : work_.chains) {
+        services_.prefixes.note(hash, chain, now);
+        services_.chainSent(hash, chain);
+    }
+    placedAt_ = now;
+    answer_.reset();
+    body_.clear();
+    splitter_.clear();
+    isStream_ = false;
+    HttpCallHandlers handlers;
+    handlers.onHead = [this](int status, const HttpHeaders &headers) { onHead(status, headers); };
+    handlers.onBody = [this](std::string_view data) { onBody(data); };
+    handlers.onEnd = [this](const HttpCallEnd &callEnd) { onEnd(callEnd); };
+    call_ = services_.backends.start(makeCall(*server_), std::move(handlers));
+    ++sentAttempts_;
+}
+
+HttpCallRequest ForwardedRequest::makeCall(const KnownServer &server) const
+{
+    const auto remaining =
+        std::max(deadline_ - monotonicNow(), Duration(std::chrono::milliseconds(1)));
+    AttemptHead head;
+    head.server = server.entry.name;
+    head.team = team_;
+    head.remaining = remaining;
+    head.urgency = std::clamp(priority_, 0, kMaxUrgency);
+    head.lastEventId = lastEventId_;
+    HttpCallRequest call;
+    call.address = server.entry.address;
+    call.method = std::string(exchange_->method());
+    call.target = exchange_->target();
+    call.headers = services_.formats.attemptHeaders(request_, head);
+    call.body = exchange_->body();
+    call.connectTimeout = std::min(kConnectTimeout, remaining);
+    call.progressTimeout =
+        route_.isIdempotent() ? std::min(kIdempotentSilence, remaining) : remaining;
+    call.acceptsCloseDelimited = true;
+    return call;
+}
+
+void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
+{
+    const auto self = shared_from_this();
+    answer_ = services_.formats.decodeAnswer(status, headers);
+    // An answer to an earlier request may arrive late where this one's is due.
+    const bool isForeign = !answer_->requestId.empty() && answer_->requestId != request_.id;
+    const bool isSuccess = status >= kOk && status < kMultipleChoices;
+    const bool isWrong =
+        isSuccess && (!answer_->isSealed || answer_->isEncoded || answer_->requestId.empty());
+    if (isForeign || isWrong) {
+        call_.reset();
+        HttpCallEnd wrong;
+        wrong.failure = HttpFailure::Malformed;
+        wrong.status = status;
+        wrong.isRequestSent = true;
+        answer_.reset();
+        onEnd(wrong);
+        return;
+    }
+    isStream_ = route_.kind == RequestKind::Stream && isSuccess;
+}
+
+void ForwardedRequest::onBody(std::string_view data)
+{
+    if (!isStream_) {
+        body_ += data;
+        return;
+    }
+    const auto batch = splitter_.add(data, lastEventId_);
+    if (batch.count > 0)
+        onEvents(batch);
+}
+
+void ForwardedRequest::onEvents(const EventBatch &batch)
+{
+    const auto self = shared_from_this();
+    if (!firstEventAt_)
+        firstEventAt_ = monotonicNow();
+    if (load_.prefillTokens > 0) {
+        // The prompt has been read.
+        ServerLoad read;
+        read.prefillTokens = load_.prefillTokens;
+        server_->own -= read;
+        load_.prefillTokens = 0;
+        services_.loadChanged();
+    }
+    if (!exchange_->isStarted())
+        exchange_->startStream(answer_->status, answer_->passedHeaders);
+    exchange_->sendChunk(batch.text);
+    events_ += batch.count;
+    if (batch.lastId)
+        lastEventId_ = batch.lastId;
+    if (exchange_->bufferedBytes() > kMaxUnreadBytes)
+        finishFault(ResultCode::CallerLeft);
+}
+
+void ForwardedRequest::onEnd(const HttpCallEnd &callEnd)
+{
+    const auto self = shared_from_this();
+    const bool isWhole = callEnd.failure == HttpFailure::None && answer_
+        && !(isStream_ && splitter_.hasPartialEvent());
+    if (isWhole) {
+        onWholeAnswer();
+        return;
+    }
+    if (!callEnd.isRequestSent) {
+        noteFault(AttemptFault::NotSent, callEnd);
+        onFault(AttemptFault::NotSent, ResultCode::ConnectFailed);
+        return;
+    }
+    noteFault(AttemptFault::Broken, callEnd);
+    const bool isSilent = callEnd.failure == HttpFailure::ProgressTimeout;
+    onFault(AttemptFault::Broken,
+            isSilent ? ResultCode::ProgressTimeout : ResultCode::BadBackendResponse);
+}
+
+void ForwardedRequest::onWholeAnswer()
+{
+    const auto now = monotonicNow();
+    if (answer_->isNotExecuted) {
+        server_->health.noteRefusal(now);
+        releaseServer();
+        onFault(AttemptFault::NotRun, ResultCode::BackendServerRefused);
+        return;
+    }
+    mayHaveRun_ = true;
+    const bool isFailure = answer_->status >= kServerError;
+    server_->health.noteAnswer(isFailure, now);
+    releaseServer();
+    if (isFailure && route_.isIdempotent() && mayRepeat(AttemptFault::Failed)) {
+        logAttempt("attempt_failed", ResultCode::BackendServerError);
+        place();
+        return;
+    }
+    deliver();
+}
+
+void ForwardedRequest::noteFault(AttemptFault fault, const HttpCallEnd &callEnd)
+{
+    const auto now = monotonicNow();
+    server_->health.noteBrokenConnection(now);
+    const bool isClosed = callEnd.failure == HttpFailure::ClosedBeforeResponse
+        || callEnd.failure == HttpFailure::ClosedMidResponse;
+    if (fault == AttemptFault::Broken && isClosed)
+        services_.crashSuspected(fingerprint_, crashId(server_->entry.name, server_->entry.start));
+    releaseServer();
+}
+
+void ForwardedRequest::releaseServer()
+{
+    if (!server_)
+        return;
+    server_->own -= load_;
+    load_ = {};
+    excluded_.push_back(server_->entry.name);
+    server_ = nullptr;
+    call_.reset();
+    services_.loadChanged();
+}
+
+void ForwardedRequest::onFault(AttemptFault fault, ResultCode code)
+{
+    logAttempt("attempt_failed", code);
+    if (fault == AttemptFault::NotSent) {
+        --sentAttempts_;
+        ++unsentAttempts_;
+    }
+    if (fault == AttemptFault::Broken)
+        mayHaveRun_ = true;
+    if (mayRepeat(fault))
+        place();
+    else
+        finishFault(code);
+}
+
+bool ForwardedRequest::mayRepeat(AttemptFault fault)
+{
+    const auto now = monotonicNow();
+    if (now >= deadline_)
+        return false;
+    switch (fault) {
+    case AttemptFault::NotSent:
+        return unsentAttempts_ < kMaxUnsentAttempts;
+    case AttemptFault::NotRun:
+        if (sentAttempts_ >= route_.maxAttempts + kMaxRefusedAttempts)
+            return false;
+        break;
+    case AttemptFault::Broken:
+    case AttemptFault::Failed:
+        if (!route_.isIdempotent() || sentAttempts_ >= route_.maxAttempts)
+            return false;
+        break;
+    }
+    return services_.retryWindow(pool_).tryRepeat(services_.routerCount(), now);
+}
+
+void ForwardedRequest::onCallerLeft()
+{
+    const auto self = shared_from_this();
+    end(Outcome::Unknown, ResultCode::CallerLeft, 0);
+}
+
+void ForwardedRequest::onDeadline()
+{
+    const auto self = shared_from_this();
+    if (call_)
+        mayHaveRun_ = true;
+    if (ticket_)
+        services_.waiting.remove(pool_, *std::exchange(ticket_, std::nullopt));
+    finishFault(ResultCode::DeadlinePassed);
+}
+
+void ForwardedRequest::refuse(int status, ResultCode code, std::optional<Duration> retryAfter)
+{
+    exchange_->reply(status, retryAfter ? retryAfterHeader(*retryAfter) : HttpHeaders(), "");
+    end(Outcome::NotRun, code, status);
+}
+
+// Ends the request without an answer of a server.
+void ForwardedRequest::finishFault(ResultCode code)
+{
+    if (isEnded_)
+        return;
+    if (exchange_->isStarted()) {
+        // The caller sees that the stream is cut, and may go on after its last event.
+        exchange_->abort();
+        end(Outcome::Unknown, code, 0);
+        return;
+    }
+    if (!mayHaveRun_) {
+        refuse(kUnavailable, code, kRetryAfterUnready);
+        return;
+    }
+    const int status = code == ResultCode::DeadlinePassed ? kGatewayTimeout : kBadGateway;
+    exchange_->reply(status, {}, "");
+    end(Outcome::Unknown, code, status);
+}
+
+void ForwardedRequest::deliver()
+{
+    const int status = answer_->status;
+    if (isStream_) {
+        if (!exchange_->isStarted())
+            exchange_->startStream(status, answer_->passedHeaders);
+        exchange_->endStream();
+        end(Outcome::Completed, ResultCode::Ok, status);
+        return;
+    }
+    // Without the server's word that it did not run, the caller must not be told so.
+    if (isPromise(status)) {
+        exchange_->reply(kBadGateway, {}, "");
+        end(Outcome::Unknown, ResultCode::BackendServerError, kBadGateway);
+        return;
+    }
+    exchange_->reply(status, answer_->passedHeaders, body_);
+    const bool isFailure = status >= kServerError;
+    end(isFailure ? Outcome::Failed : Outcome::Completed,
+        isFailure ? ResultCode::BackendServerError : ResultCode::Ok, status);
+}
+
+void ForwardedRequest::end(Outcome outcome, ResultCode code, int status)
+{
+    if (std::exchange(isEnded_, true))
+        return;
+    deadlineTimer_.stop();
+    waitTimer_.stop();
+    if (ticket_)
+        services_.waiting.remove(pool_, *std::exchange(ticket_, std::nullopt));
+    releaseServer();
+    const auto now = monotonicNow();
+    RequestMeasurement measurement;
+    measurement.requestClass = ClassName(route_.name);
+    measurement.team = team_;
+    measurement.outcome = outcome;
+    measurement.code = code;
+    measurement.answer = now - exchange_->arrival();
+    if (sentAttempts_ > 0)
+        measurement.queueWait = placedAt_ - exchange_->arrival();
+    if (firstEventAt_)
+        measurement.firstToken = *firstEventAt_ - exchange_->arrival();
+    measurement.outputTokens = events_;
+    measurement.isTargetMet = outcome == Outcome::Completed
+        && measurement.firstToken.value_or(measurement.answer) <= route_.target;
+    services_.metrics.observe(measurement);
+    LogLine line("request_ended");
+    line.add("id", request_.id)
+        .add("route", route_.name)
+        .add("team", team_.value())
+        .add("outcome", outcomeName(outcome))
+        .add("code", static_cast<int>(code))
+        .add("status", status)
+        .add("attempts", sentAttempts_)
+        .add("unsent", unsentAttempts_)
+        .add("server", excluded_.empty() ? "" : excluded_.back().value())
+        .add("events", events_)
+        .add("wait_ms", sentAttempts_ > 0 ? (placedAt_ - exchange_->arrival()).count() / 1000 : -1)
+        .add("first_ms", firstEventAt_ ? measurement.firstToken->count() / 1000 : -1)
+        .add("total_ms", measurement.answer.count() / 1000)
+        .add("configuration", table_ ? table_->version().value() : 0);
+    services_.log.write(line.text());
+    services_.open.erase(shared_from_this());
+}
+
+void ForwardedRequest::logAttempt(std::string_view event, ResultCode code) const
+{
+    LogLine line(event);
+    line.add("id", request_.id)
+        .add("code", static_cast<int>(code))
+        .add("server", excluded_.empty() ? "" : excluded_.back().value())
+        .add("status", answer_ ? answer_->status : 0)
+        .add("attempts", sentAttempts_)
+        .add("events", events_)
+        .add("after_ms", (monotonicNow() - placedAt_).count() / 1000);
+    services_.log.write(line.text());
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/forwardedrequest.h
@@ -0,0 +1,114 @@
+#ifndef CROCUSPORT_FORWARDEDREQUEST_H
+#define CROCUSPORT_FORWARDEDREQUEST_H
+
+#include "eventsplitter.h"
+#include "gatewayservices.h"
+
+#include "crocusport/transport/timer.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusport {
+
+/*!
+    One caller's request from its arrival to its one final answer: route and key, place on a backend
+    server, attempts, answer.
+
+    An answer says that the request has not run (503) only when no byte of it can have reached a
+    server that may run it. A stream that breaks goes on at another server where its route allows
+    that, after the last whole event that the caller has got.
+
+    Thread safety: loop thread only.
+*/
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
+{
+public:
+    //! Handles the request of \a exchange; it stays in \a services.open until it has ended.
+    static void start(GatewayServices &services, std::shared_ptr<HttpExchange> exchange);
+
+    ForwardedRequest(GatewayServices &services, std::shared_ptr<HttpExchange> exchange);
+    ~ForwardedRequest();
+
+    ForwardedRequest(const ForwardedRequest &) = delete;
+    ForwardedRequest &operator=(const ForwardedRequest &) = delete;
+
+private:
+    //! Why an attempt has ended without an answer for the caller.
+    enum class AttemptFault {
+        NotSent, //!< No connection was made.
+        NotRun,  //!< The server says that it did not run the request.
+        Broken,  //!< The connection broke, or the answer was wrong; the request may have run.
+        Failed,  //!< The server answered with a failure of its own.
+    };
+
+    void begin();
+    bool findRoute();
+    bool findTeam();
+    void describeWork();
+    void choosePool();
+    bool isStillAllowed() const;
+
+    void place();
+    bool tryPlace();
+    void wait();
+    void onWaitedTooLong();
+    void startAttempt(const ServerSelector::Choice &choice);
+    HttpCallRequest makeCall(const KnownServer &server) const;
+    void onHead(int status, const HttpHeaders &headers);
+    void onBody(std::string_view data);
+    void onEvents(const EventBatch &batch);
+    void onEnd(const HttpCallEnd &end);
+    void onWholeAnswer();
+    void releaseServer();
+    void noteFault(AttemptFault fault, const HttpCallEnd &end);
+    void onFault(AttemptFault fault, ResultCode code);
+    bool mayRepeat(AttemptFault fault);
+
+    void onCallerLeft();
+    void onDeadline();
+    void refuse(int status, ResultCode code, std::optional<Duration> retryAfter = {});
+    void finishFault(ResultCode code);
+    void deliver();
+    void end(Outcome outcome, ResultCode code, int status);
+    void logAttempt(std::string_view event, ResultCode code) const;
+
+    GatewayServices &services_;
+    std::shared_ptr<HttpExchange> exchange_;
+    IncomingRequest request_;
+    std::shared_ptr<const RoutingTable> table_; //!< In force when the request was placed last.
+    Route route_;
+    TeamName team_;
+    int priority_ = 0;
+    PoolName pool_;
+    WorkProfile work_;
+    Fingerprint fingerprint_;
+    Instant deadline_;
+    Timer deadlineTimer_;
+    Timer waitTimer_;
+    std::optional<WaitingList::Ticket> ticket_;
+
+    std::shared_ptr<KnownServer> server_; //!< Of the attempt in progress.
+    ServerLoad load_;                     //!< That the attempt adds to its server.
+    std::unique_ptr<HttpCall> call_;
+    std::optional<AnswerHead> answer_;
+    std::string body_;
+    EventSplitter splitter_;
+    std::optional<std::uint64_t> lastEventId_; //!< That the caller has.
+    std::vector<BackendServerName> excluded_;
+    int sentAttempts_ = 0; //!< That may have reached a server.
+    int unsentAttempts_ = 0;
+    bool isStream_ = false;   //!< The answer in progress is a stream of events.
+    bool mayHaveRun_ = false; //!< An attempt may have run, or runs.
+    bool isEnded_ = false;
+
+    Instant placedAt_;
+    std::optional<Instant> firstEventAt_;
+    std::uint64_t events_ = 0;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_FORWARDEDREQUEST_H
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,110 @@
+#ifndef CROCUSPORT_GATEWAY_H
+#define CROCUSPORT_GATEWAY_H
+
+#include "gatewayservices.h"
+#include "loadexchange.h"
+#include "registration.h"
+#include "storefeed.h"
+
+#include "crocusport/transport/datagramsocket.h"
+#include "crocusport/transport/httpserver.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace crocusport {
+
+/*!
+    One gateway process: serves callers by the configuration and the backend servers that it reads
+    from the platform's store, in the formats of a deployment.
+
+    Thread safety: loop thread only. The loop must outlive the gateway.
+*/
+class Gateway
+{
+public:
+    //! Opens the ports and starts all parts. \a formats must outlive the gateway. Fails with
+    //! ListenFailed.
+    static Result<std::unique_ptr<Gateway>> create(EventLoop &loop, GatewaySettings settings,
+                                                   const FormatTable &formats, int logDescriptor);
+    ~Gateway();
+
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    /*!
+        Shuts down without cutting off a request: becomes unready, keeps accepting for the load
+        balancer's delay, then finishes what is open and stops the loop.
+    */
+    void shutDown();
+    //! Takes over bounds and pauses of \a settings; addresses stay as they are.
+    void reload(const GatewaySettings &settings);
+
+    //! Whether the load balancer may send requests here.
+    bool isReady() const;
+    const SocketAddress &callersAddress() const { return callers_->address(); }
+    const SocketAddress &readyAddress() const { return ready_->address(); }
+
+private:
+    Gateway(EventLoop &loop, GatewaySettings settings, const FormatTable &formats,
+            int logDescriptor);
+
+    Result<void> listen();
+    void onStoreChange(const StoreChange &change);
+    void onConfiguration(const std::string &text);
+    void onServer(const BackendServerName &name, const StoreChange &change);
+    void removeServer(const BackendServerName &name);
+    void onReport(std::string_view datagram);
+    void scheduleReport();
+    void sendReport(bool isLeaving);
+    void noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash);
+    Duration configurationAge() const;
+    RetryWindow &retryWindow(const PoolName &pool);
+    std::size_t routerCount() const;
+    void answerReady(HttpExchange &exchange) const;
+    void answerMetrics(HttpExchange &exchange);
+    void tick();
+    void continueShutdown();
+    void applyLimits();
+
+    EventLoop &loop_;
+    GatewaySettings settings_;
+    const FormatTable &formats_;
+    LogWriter log_;
+    std::mt19937_64 random_;
+    HttpClient backends_;
+    HttpClient storeClient_;
+    ServerDirectory directory_;
+    PrefixMemory prefixes_;
+    ServerSelector selector_;
+    WaitingList waiting_;
+    CrashLedger crashes_;
+    RequestMetrics metrics_;
+    PeerLoads peers_;
+    std::shared_ptr<const RoutingTable> table_;
+    std::unordered_map<PoolName, RetryWindow> retryWindows_;
+    std::map<BackendServerName, Instant> delayedRemovals_;
+    std::unique_ptr<HttpServer> ready_;
+    std::unique_ptr<HttpServer> callers_;
+    std::unique_ptr<HttpServer> metricsServer_;
+    std::unique_ptr<DatagramSocket> reports_;
+    std::unique_ptr<StoreFeed> feed_;
+    std::unique_ptr<Registration> registration_;
+    Timer tickTimer_;
+    Timer reportTimer_;
+    Timer waitingTimer_;
+    Instant started_;
+    Instant reportedAt_;
+    Instant nextHousekeeping_;
+    std::uint64_t reportSequence_ = 0;
+    std::vector<std::pair<ServerHash, ChainHash>> newChains_;
+    std::deque<std::pair<Instant, CrashSuspicion>> suspicions_;
+    std::optional<Instant> stopRequestedAt_;
+    GatewayServices services_; //!< Last, since requests use all the rest when they are destroyed.
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_GATEWAY_H
--- /dev/null
+++ b/src/gateway/gatewayservices.h
@@ -0,0 +1,60 @@
+#ifndef CROCUSPORT_GATEWAYSERVICES_H
+#define CROCUSPORT_GATEWAYSERVICES_H
+
+#include "formattable.h"
+#include "prefixmemory.h"
+#include "retrywindow.h"
+#include "serverdirectory.h"
+#include "serverselector.h"
+#include "waitinglist.h"
+
+#include "logline.h"
+#include "requestmetrics.h"
+
+#include "crocusport/gateway/gatewaysettings.h"
+#include "crocusport/state/crashledger.h"
+#include "crocusport/transport/httpclient.h"
+#include "crocusport/transport/logwriter.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace crocusport {
+
+class ForwardedRequest;
+
+//! What requests use of their gateway. Thread safety: loop thread only.
+struct GatewayServices
+{
+    EventLoop &loop;
+    const GatewaySettings &settings;
+    const FormatTable &formats;
+    HttpClient &backends;
+    ServerDirectory &directory;
+    PrefixMemory &prefixes;
+    ServerSelector &selector;
+    WaitingList &waiting;
+    CrashLedger &crashes;
+    RequestMetrics &metrics;
+    LogWriter &log;
+    std::mt19937_64 &random;
+
+    std::function<std::shared_ptr<const RoutingTable>()> table; //!< Null before the first.
+    //! Time since the router knew the newest configuration for sure.
+    std::function<Duration()> configurationAge;
+    std::function<std::size_t()> routerCount;
+    std::function<RetryWindow &(const PoolName &)> retryWindow;
+    //! The load of a server has changed, and what others should know with it.
+    std::function<void()> loadChanged;
+    std::function<void(ServerHash, ChainHash)> chainSent;
+    std::function<void(Fingerprint, const std::string &crash)> crashSuspected;
+
+    std::unordered_set<std::shared_ptr<ForwardedRequest>> open; //!< Without their final answer.
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_GATEWAYSERVICES_H
--- /dev/null
+++ b/src/gateway/gatewaysettings.cpp
@@ -0,0 +1,134 @@
+#include "crocusport/gateway/gatewaysettings.h"
+
+#include "keytable.h"
+
+#include <array>
+
+namespace crocusport {
+
+namespace {
+
+using Entry = KeyEntry<GatewaySettings>;
+
+constexpr double kMaxPort = 65'535;
+constexpr double kMinuteMs = 60'000;
+constexpr double kHourS = 3600;
+constexpr double kMaxRetrySlack = 1'000'000;
+constexpr std::array<std::string_view, 2> kYesNo = { "false", "true" };
+
+template<auto... path>
+constexpr auto kStore = storeTo<GatewaySettings, path...>;
+
+Entry addressEntry(std::string_view name, std::string_view description,
+                   void (*store)(GatewaySettings &, const KeyValue &))
+{
+    return { { name, KeyType::Address, KeyNeed::Required, {}, {}, 0, 0, {}, description }, store };
+}
+
+Entry numberEntry(std::string_view name, std::string_view defaultText, double max,
+                  std::string_view description, void (*store)(GatewaySettings &, const KeyValue &))
+{
+    return { { name, KeyType::Number, KeyNeed::Optional, {}, defaultText, 0, max, {}, description },
+             store };
+}
+
+Entry portEntry(std::string_view name, std::string_view description,
+                void (*store)(GatewaySettings &, const KeyValue &))
+{
+    return integerEntry<GatewaySettings>(name, "", "0", 0, kMaxPort, description, store);
+}
+
+std::vector<Entry> identityEntries()
+{
+    return {
+        nameEntry<GatewaySettings>("router", "Name of this router, unique in the fleet.",
+                                   kStore<&GatewaySettings::router>),
+        nameEntry<GatewaySettings>("region", "Region of this router.",
+                                   kStore<&GatewaySettings::region>),
+        nameEntry<GatewaySettings>("availability_zone", "Availability zone of this router.",
+                                   kStore<&GatewaySettings::zone>),
+        addressEntry("listen.callers", "Where callers connect.", kStore<&GatewaySettings::callers>),
+        addressEntry("listen.ready", "Where the load balancer asks whether the router is ready.",
+                     kStore<&GatewaySettings::ready>),
+        nameEntry<GatewaySettings>("internal.ip", "IP address of the internal ports.",
+                                   kStore<&GatewaySettings::ip>),
+        portEntry("internal.report_port", "UDP port of load reports between routers.",
+                  kStore<&GatewaySettings::reportPort>),
+        portEntry("internal.metrics_port", "TCP port of the metrics; 0 serves none.",
+                  kStore<&GatewaySettings::metricsPort>),
+        addressEntry("store.address", "The platform's key-value store.",
+                     kStore<&GatewaySettings::store>),
+    };
+}
+
+std::vector<Entry> boundEntries()
+{
+    return {
+        integerEntry<GatewaySettings>("store.poll_interval_ms", "ms", "600", 50, kMinuteMs,
+                                      "Time between two calls for changes.",
+                                      kStore<&GatewaySettings::storePollInterval>),
+        integerEntry<GatewaySettings>("bounds.revocation_ms", "ms", "5000", 100, kMinuteMs,
+                                      "Time after which a withdrawn key is refused everywhere.",
+                                      kStore<&GatewaySettings::revocationBound>),
+        choiceEntry<GatewaySettings>(
+            "bounds.strict_revocation", KeyNeed::Optional, "true", kYesNo,
+            "Whether keys are refused while the store has not been heard for that time.",
+            [](GatewaySettings &settings, const KeyValue &value) {
+                settings.isRevocationStrict = choiceOf<bool>(kYesNo, value);
+            }),
+        integerEntry<GatewaySettings>("bounds.configuration_ms", "ms", "2000", 100, kMinuteMs,
+                                      "Time in which a new configuration is in force.",
+                                      kStore<&GatewaySettings::configurationBound>),
+        numberEntry("retry.ratio", "0.1", 10, "Repeats for each request, over all routers.",
+                    kStore<&GatewaySettings::retryRatio>),
+        numberEntry("retry.slack", "10", kMaxRetrySlack,
+                    "Further repeats in each window, over all routers.",
+                    kStore<&GatewaySettings::retrySlack>),
+        integerEntry<GatewaySettings>("retry.window_s", "s", "10", 1, kHourS,
+                                      "Window of the retry budget.",
+                                      kStore<&GatewaySettings::retryWindow>),
+        integerEntry<GatewaySettings>("shutdown.grace_s", "s", "10", 1, kHourS,
+                                      "Time from SIGTERM until the process is ended by force.",
+                                      kStore<&GatewaySettings::shutdownGrace>),
+        integerEntry<GatewaySettings>("report.interval_ms", "ms", "100", 10, kMinuteMs,
+                                      "Least time between two load reports to other routers.",
+                                      kStore<&GatewaySettings::reportInterval>),
+    };
+}
+
+const std::vector<Entry> &entries()
+{
+    static const auto kEntries = [] {
+        auto all = identityEntries();
+        for (auto &entry : boundEntries())
+            all.push_back(entry);
+        return all;
+    }();
+    return kEntries;
+}
+
+} // namespace
+
+Result<GatewaySettings> GatewaySettings::load(const std::string &path)
+{
+    BOOST_LEAF_AUTO(text, readTextFile(path));
+    return parse(text, path);
+}
+
+Result<GatewaySettings> GatewaySettings::parse(std::string_view text, const std::string &file)
+{
+    BOOST_LEAF_AUTO(table, parseToml(text, file, ResultCode::BadSettings));
+    Faults faults;
+    GatewaySettings settings;
+    readKeys<GatewaySettings>(table, entries(), settings, faults);
+    if (!faults.empty())
+        return makeError(ResultCode::BadSettings, joinFaults(faults));
+    return settings;
+}
+
+std::string GatewaySettings::reference()
+{
+    return keyReference<GatewaySettings>(entries());
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/prefixmemory.cpp
@@ -0,0 +1,64 @@
+#include "prefixmemory.h"
+
+#include <xxhash.h>
+
+namespace crocusport {
+
+namespace {
+
+// Servers evict what was used longest ago; after this time a chain is not counted on any more.
+constexpr Duration kChainMemory = std::chrono::seconds(60);
+
+} // namespace
+
+ServerHash serverHash(const BackendServerName &name)
+{
+    return XXH32(name.value().data(), name.value().size(), 0);
+}
+
+std::vector<ChainHash> chainHashes(const std::vector<PromptPart> &parts)
+{
+    std::vector<ChainHash> hashes;
+    hashes.reserve(parts.size());
+    ChainHash hash = 0;
+    for (const auto &part : parts) {
+        hash = XXH32(&part.id, sizeof(part.id), hash);
+        hashes.push_back(hash);
+    }
+    return hashes;
+}
+
+void PrefixMemory::note(ServerHash server, ChainHash chain, Instant now)
+{
+    chains_[server][chain] = now;
+}
+
+std::uint32_t PrefixMemory::cachedTokens(ServerHash server, const std::vector<PromptPart> &parts,
+                                         const std::vector<ChainHash> &chains, Instant now) const
+{
+    const auto known = chains_.find(server);
+    if (known == chains_.end())
+        return 0;
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const auto chain = known->second.find(chains[i]);
+        if (chain == known->second.end() || chain->second + kChainMemory <= now)
+            break;
+        tokens += parts[i].tokens;
+    }
+    return tokens;
+}
+
+void PrefixMemory::forget(ServerHash server)
+{
+    chains_.erase(server);
+}
+
+void PrefixMemory::expire(Instant now)
+{
+    for (auto &[server, chains] : chains_)
+        std::erase_if(chains,
+                      [&](const auto &chain) { return chain.second + kChainMemory <= now; });
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/retrywindow.h
@@ -0,0 +1,47 @@
+#ifndef CROCUSPORT_RETRYWINDOW_H
+#define CROCUSPORT_RETRYWINDOW_H
+
+#include "crocusport/state/instant.h"
+
+#include <cstddef>
+#include <deque>
+
+namespace crocusport {
+
+//! Bounds on the repeats that all routers together may send to one pool.
+struct RetryLimits
+{
+    double ratio = 0; //!< Repeats for each request of callers.
+    double slack = 0; //!< Further repeats in each window, over all routers.
+    Duration window {};
+};
+
+/*!
+    The share of one pool's retry budget that this router may spend: the ratio of its own requests,
+    and an equal part of the slack. So the routers together stay within the budget without hearing
+    each other.
+
+    Thread safety: none; use from one thread.
+*/
+class RetryWindow
+{
+public:
+    //! \a start is when the router began; what it spent before a restart is not known.
+    RetryWindow(const RetryLimits &limits, Instant start);
+
+    void noteRequest(Instant now);
+    //! Takes one repeat out of the budget of \a routerCount routers. Returns false if it is spent.
+    bool tryRepeat(std::size_t routerCount, Instant now);
+
+private:
+    static void expire(std::deque<Instant> &times, Instant limit);
+
+    RetryLimits limits_;
+    Instant start_;
+    std::deque<Instant> requests_;
+    std::deque<Instant> repeats_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_RETRYWINDOW_H
--- /dev/null
+++ b/src/gateway/routingtable.cpp
@@ -0,0 +1,63 @@
+#include "crocusport/gateway/routingtable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace crocusport {
+
+namespace {
+
+// Host names compare without case, and a port does not select a route.
+std::string normalizedHost(std::string_view host)
+{
+    std::string normalized(host.substr(0, host.find(':')));
+    std::transform(normalized.begin(), normalized.end(), normalized.begin(),
+                   [](unsigned char character) { return std::tolower(character); });
+    return normalized;
+}
+
+} // namespace
+
+RoutingTable::RoutingTable(RoutingConfiguration configuration)
+    : configuration_(std::move(configuration))
+{
+    for (const auto &route : configuration_.routes)
+        routes_[normalizedHost(route.host)].push_back(&route);
+    for (auto &[host, routes] : routes_) {
+        std::stable_sort(routes.begin(), routes.end(), [](const auto *left, const auto *right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+    for (const auto &pool : configuration_.pools)
+        pools_.emplace(pool.name, &pool);
+    for (const auto &team : configuration_.teams) {
+        for (const auto &key : team.keys)
+            teams_.emplace(key, &team);
+    }
+}
+
+const Route *RoutingTable::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto found = routes_.find(normalizedHost(host));
+    if (found == routes_.end())
+        return nullptr;
+    for (const auto *route : found->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const PoolEntry *RoutingTable::findPool(const PoolName &pool) const
+{
+    const auto found = pools_.find(pool);
+    return found == pools_.end() ? nullptr : found->second;
+}
+
+const TeamEntry *RoutingTable::findTeam(const std::string &key) const
+{
+    const auto found = teams_.find(key);
+    return found == teams_.end() ? nullptr : found->second;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/serverdirectory.cpp
@@ -0,0 +1,137 @@
+#include "serverdirectory.h"
+
+#include <algorithm>
+
+namespace crocusport {
+
+namespace {
+
+// Weight of the newest answer in the share of failures: about the last ten count.
+constexpr double kFailureWeight = 0.1;
+// Time for which a server is avoided after a broken connection; doubles up to the maximum.
+constexpr Duration kMinAvoidance = std::chrono::milliseconds(250);
+constexpr Duration kMaxAvoidance = std::chrono::seconds(2);
+constexpr int kMaxDoublings = 3;
+// A server that refuses is full; its queue is shorter after about this time.
+constexpr Duration kRefusalAvoidance = std::chrono::milliseconds(100);
+// Entries of a removed server may arrive late for about this long.
+constexpr Duration kRemovedMemory = std::chrono::seconds(30);
+
+} // namespace
+
+ServerLoad &ServerLoad::operator+=(const ServerLoad &other)
+{
+    requests += other.requests;
+    sensitivity += other.sensitivity;
+    prefillTokens += other.prefillTokens;
+    memoryTokens += other.memoryTokens;
+    return *this;
+}
+
+ServerLoad &ServerLoad::operator-=(const ServerLoad &other)
+{
+    requests -= std::min(requests, other.requests);
+    sensitivity = std::max(0.0, sensitivity - other.sensitivity);
+    prefillTokens -= std::min(prefillTokens, other.prefillTokens);
+    memoryTokens -= std::min(memoryTokens, other.memoryTokens);
+    return *this;
+}
+
+void ServerHealth::noteAnswer(bool isFailure, Instant /*now*/)
+{
+    failureShare_ += kFailureWeight * ((isFailure ? 1 : 0) - failureShare_);
+    brokenInRow_ = 0;
+}
+
+void ServerHealth::noteRefusal(Instant now)
+{
+    avoidedUntil_ = std::max(avoidedUntil_, now + kRefusalAvoidance);
+}
+
+void ServerHealth::noteBrokenConnection(Instant now)
+{
+    failureShare_ += kFailureWeight * (1 - failureShare_);
+    const auto doublings = std::min(brokenInRow_++, kMaxDoublings);
+    const auto avoidance = std::min(kMinAvoidance * (1 << doublings), kMaxAvoidance);
+    avoidedUntil_ = std::max(avoidedUntil_, now + avoidance);
+}
+
+ServerLoad KnownServer::load() const
+{
+    auto sum = own;
+    sum += others;
+    return sum;
+}
+
+bool ServerDirectory::update(const ServerEntry &entry, Instant now)
+{
+    if (const auto removed = removed_.find(entry.name); removed != removed_.end()) {
+        if (!entry.isNewerThan(removed->second.entry))
+            return false;
+        removed_.erase(removed);
+    }
+    auto &server = servers_[entry.name];
+    const bool isRestarted = server && server->entry.start != entry.start;
+    const bool isMoved =
+        server && (server->entry.pool != entry.pool || server->entry.address != entry.address);
+    if (server && !entry.isNewerThan(server->entry))
+        return false;
+    if (isRestarted || isMoved) {
+        server->isGone = true;
+        unlink(server);
+        server = nullptr;
+    }
+    if (!server) {
+        server = std::make_shared<KnownServer>();
+        pools_[entry.pool].push_back(server);
+    }
+    server->entry = entry;
+    server->coldUntil = now + entry.coldRemaining;
+    return true;
+}
+
+void ServerDirectory::remove(const BackendServerName &name, Instant now)
+{
+    const auto found = servers_.find(name);
+    if (found == servers_.end())
+        return;
+    found->second->isGone = true;
+    removed_[name] = { found->second->entry, now };
+    unlink(found->second);
+    servers_.erase(found);
+}
+
+void ServerDirectory::unlink(const ServerPointer &server)
+{
+    std::erase(pools_[server->entry.pool], server);
+}
+
+void ServerDirectory::expire(Instant now)
+{
+    std::erase_if(removed_,
+                  [&](const auto &item) { return item.second.at + kRemovedMemory <= now; });
+}
+
+const std::vector<ServerDirectory::ServerPointer> &ServerDirectory::pool(const PoolName &name) const
+{
+    static const std::vector<ServerPointer> kEmpty;
+    const auto found = pools_.find(name);
+    return found == pools_.end() ? kEmpty : found->second;
+}
+
+ServerDirectory::ServerPointer ServerDirectory::find(const BackendServerName &name) const
+{
+    const auto found = servers_.find(name);
+    return found == servers_.end() ? nullptr : found->second;
+}
+
+std::vector<BackendServerName> ServerDirectory::names() const
+{
+    std::vector<BackendServerName> names;
+    names.reserve(servers_.size());
+    for (const auto &[name, server] : servers_)
+        names.push_back(name);
+    return names;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/serverdirectory.h
@@ -0,0 +1,106 @@
+#ifndef CROCUSPORT_SERVERDIRECTORY_H
+#define CROCUSPORT_SERVERDIRECTORY_H
+
+#include "crocusport/gateway/serverentry.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace crocusport {
+
+//! What requests use of a backend server, counted from when they are sent.
+struct ServerLoad
+{
+    std::uint32_t requests = 0;
+    double sensitivity = 0;          //!< Of the running streams to pauses; see WorkProfile.
+    std::uint64_t prefillTokens = 0; //!< Of prompts without their first event.
+    std::uint64_t memoryTokens = 0;  //!< Of prompts and expected outputs.
+
+    ServerLoad &operator+=(const ServerLoad &other);
+    ServerLoad &operator-=(const ServerLoad &other);
+};
+
+//! What attempts on a backend server have shown lately.
+class ServerHealth
+{
+public:
+    //! An attempt has ended with an answer of the server.
+    void noteAnswer(bool isFailure, Instant now);
+    //! The server refused a request that it did not run.
+    void noteRefusal(Instant now);
+    //! A connection could not be made, or broke without an answer.
+    void noteBrokenConnection(Instant now);
+
+    //! Whether requests go elsewhere while others can take them.
+    bool isAvoided(Instant now) const { return now < avoidedUntil_; }
+    //! Share of failures among the last answers, 0 to 1.
+    double failureShare() const { return failureShare_; }
+
+private:
+    Instant avoidedUntil_ {};
+    int brokenInRow_ = 0;
+    double failureShare_ = 0;
+};
+
+//! One backend server as this router knows it.
+struct KnownServer
+{
+    ServerEntry entry;
+    ServerLoad own;    //!< Of this router's requests.
+    ServerLoad others; //!< Of the other routers' requests, as they said last.
+    ServerHealth health;
+    Instant coldUntil {};
+    bool isGone = false; //!< Its entry was removed; requests may still run there.
+
+    bool isUsable() const { return !isGone && entry.state == BackendServerState::Live; }
+    ServerLoad load() const;
+};
+
+/*!
+    The backend servers that are registered, by pool.
+
+    Thread safety: none; use from one thread.
+*/
+class ServerDirectory
+{
+public:
+    using ServerPointer = std::shared_ptr<KnownServer>;
+
+    //! Adds or updates a server. Returns false when \a entry is older than what is known.
+    bool update(const ServerEntry &entry, Instant now);
+    //! Removes a server, if it is there.
+    void remove(const BackendServerName &name, Instant now);
+    //! Forgets removed servers whose late entries need not be recognised any more.
+    void expire(Instant now);
+
+    const std::vector<ServerPointer> &pool(const PoolName &name) const;
+    ServerPointer find(const BackendServerName &name) const;
+    std::vector<BackendServerName> names() const;
+    std::size_t size() const { return servers_.size(); }
+    template<typename Function>
+    void forEach(Function &&function) const
+    {
+        for (const auto &[name, server] : servers_)
+            function(server);
+    }
+
+private:
+    struct Removed
+    {
+        ServerEntry entry;
+        Instant at {};
+    };
+
+    void unlink(const ServerPointer &server);
+
+    std::unordered_map<BackendServerName, ServerPointer> servers_;
+    std::unordered_map<PoolName, std::vector<ServerPointer>> pools_;
+    std::unordered_map<BackendServerName, Removed> removed_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_SERVERDIRECTORY_H
--- /dev/null
+++ b/src/gateway/serverselector.cpp
@@ -0,0 +1,136 @@
+#include "serverselector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace crocusport {
+
+namespace {
+
+// Costs are in milliseconds of expected delay.
+
+// Reading speed of a usual engine, in prompt tokens for each ms; only the ratio of costs matters.
+constexpr double kPrefillTokensPerMs = 80;
+// Each running request makes every step of the engine a little longer.
+constexpr double kMsPerRunningRequest = 2;
+// A prompt over this length is read in several chunks, and delays several steps.
+constexpr std::uint32_t kLongPromptTokens = 1500;
+// Expected harm of a long prompt to one fully sensitive stream beside it.
+constexpr double kDisturbanceMs = 60;
+// Prompt tokens beyond this are read after a sensitive stream has made most of its events.
+constexpr double kMaxDisturbingTokens = 8000;
+// A sensitive stream suffers in each of its events while prompts are read beside it.
+constexpr double kSensitivePrefillFactor = 3;
+// Bytes between zones are dear; worth about this much delay for a usual request.
+constexpr double kOtherZoneMs = 8;
+// Expected cost of an attempt that fails.
+constexpr double kFailureMs = 300;
+// Service time of one request of a plain service, until better is known.
+constexpr double kServiceMs = 20;
+// A server that has just started is slower.
+constexpr double kColdMs = 50;
+// Share of an engine's memory that is planned with; outputs may become longer than expected.
+constexpr double kPlannedMemoryShare = 0.9;
+// Differences below this are noise, so that routers that see the same loads do not all choose the
+// same server.
+constexpr double kNoiseMs = 4;
+
+constexpr Duration kReferencePause = std::chrono::milliseconds(250);
+constexpr double kReferenceOutputTokens = 150;
+
+} // namespace
+
+double pauseSensitivity(Duration maxPause, std::uint32_t outputTokens)
+{
+    if (maxPause <= Duration::zero())
+        return 0;
+    const double pace = std::min(1.0, toSeconds(kReferencePause) / toSeconds(maxPause));
+    const double length = std::min(1.0, outputTokens / kReferenceOutputTokens);
+    return pace * pace * length;
+}
+
+ServerLoad WorkProfile::loadWith(std::uint32_t cachedTokens) const
+{
+    ServerLoad load;
+    load.requests = 1;
+    load.sensitivity = sensitivity;
+    load.prefillTokens = promptTokens - std::min(promptTokens, cachedTokens);
+    load.memoryTokens = promptTokens + outputTokens;
+    return load;
+}
+
+ServerSelector::ServerSelector(const ServerDirectory &directory, const PrefixMemory &prefixes,
+                               AvailabilityZone zone, std::uint64_t seed)
+    : directory_(directory), prefixes_(prefixes), zone_(std::move(zone)), random_(seed)
+{ }
+
+double ServerSelector::generationCost(const KnownServer & /*server*/, const WorkProfile &profile,
+                                      const ServerLoad &load, std::uint32_t cachedTokens) const
+{
+    const double unread =
+        profile.promptTokens - std::min<double>(profile.promptTokens, cachedTokens);
+    const auto pending = static_cast<double>(load.prefillTokens);
+    double cost = (pending + unread) / kPrefillTokensPerMs + kMsPerRunningRequest * load.requests;
+    if (unread > kLongPromptTokens)
+        cost += kDisturbanceMs * load.sensitivity * std::min(unread, kMaxDisturbingTokens)
+            / kMaxDisturbingTokens * 2;
+    cost += profile.sensitivity * kSensitivePrefillFactor * std::min(pending, kMaxDisturbingTokens)
+        / kPrefillTokensPerMs;
+    return cost;
+}
+
+double ServerSelector::cost(const KnownServer &server, const PoolEntry *entry,
+                            const WorkProfile &profile, std::uint32_t cachedTokens,
+                            Instant now) const
+{
+    const auto load = server.load();
+    double cost = entry && entry->engine
+        ? generationCost(server, profile, load, cachedTokens)
+        : kServiceMs * load.requests / std::max(1U, server.entry.slots);
+    if (server.entry.zone != zone_)
+        cost += kOtherZoneMs;
+    if (now < server.coldUntil)
+        cost += kColdMs;
+    cost += kFailureMs * server.health.failureShare();
+    return cost;
+}
+
+ServerSelector::Choice ServerSelector::choose(const PoolName &pool, const PoolEntry *entry,
+                                              const WorkProfile &profile,
+                                              const std::vector<BackendServerName> &excluded,
+                                              Instant now)
+{
+    std::uniform_real_distribution<double> noise(0, kNoiseMs);
+    Choice best;
+    double bestCost = std::numeric_limits<double>::infinity();
+    bool isBestAvoided = true;
+    for (const auto &server : directory_.pool(pool)) {
+        if (!server->isUsable()
+            || std::find(excluded.begin(), excluded.end(), server->entry.name) != excluded.end())
+            continue;
+        const auto load = server->load();
+        if (load.requests >= server->entry.slots)
+            continue;
+        if (entry && entry->engine && entry->engine->memoryTokens > 0 && load.requests > 0) {
+            const auto planned = static_cast<double>(load.memoryTokens + profile.promptTokens
+                                                     + profile.outputTokens);
+            if (planned > kPlannedMemoryShare * static_cast<double>(entry->engine->memoryTokens))
+                continue;
+        }
+        const auto cached = profile.parts.empty()
+            ? 0
+            : prefixes_.cachedTokens(serverHash(server->entry.name), profile.parts, profile.chains,
+                                     now);
+        const bool isAvoided = server->health.isAvoided(now);
+        const double serverCost = cost(*server, entry, profile, cached, now) + noise(random_);
+        if (std::pair(isAvoided, serverCost) < std::pair(isBestAvoided, bestCost)) {
+            best = { server, profile.loadWith(cached) };
+            bestCost = serverCost;
+            isBestAvoided = isAvoided;
+        }
+    }
+    return best;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/storefeed.h
@@ -0,0 +1,91 @@
+#ifndef CROCUSPORT_STOREFEED_H
+#define CROCUSPORT_STOREFEED_H
+
+#include "formattable.h"
+
+#include "crocusport/transport/timer.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace crocusport {
+
+/*!
+    Follows all items of the store: lists them once, then asks at a steady pace for the changes
+    since. One call carries the configuration, the backend servers and the routers, and proves that
+    what is known is no older than the call.
+
+    A change is handed over at most once and in the order of revisions of its key, whatever the
+    store repeats. When the store has dropped the history, the items are listed again.
+
+    Thread safety: loop thread only. Loop and HTTP client must outlive the feed.
+*/
+class StoreFeed
+{
+public:
+    struct Options
+    {
+        SocketAddress address;
+        Duration pollInterval {}; //!< Between two calls that succeed.
+        Duration callTimeout {};
+    };
+    using ChangeHandler = std::function<void(const StoreChange &change)>;
+    //! Called when calls begin to fail, with the reason, and when they succeed again, without.
+    using ReachHandler = std::function<void(const std::string &fault)>;
+
+    StoreFeed(EventLoop &loop, HttpClient &client, const FormatTable &formats, Options options,
+              ChangeHandler onChange, ReachHandler onReachChanged);
+
+    StoreFeed(const StoreFeed &) = delete;
+    StoreFeed &operator=(const StoreFeed &) = delete;
+
+    //! Whether all items have been read once.
+    bool isSynchronized() const { return isSynchronized_; }
+    //! Boot time at which the last successful call was sent; what is known is no older.
+    std::optional<Duration> lastContact() const { return lastContact_; }
+    //! Whether the store answers again since a moment ago, after it had not.
+    bool isJustBack() const;
+    std::uint64_t startedCalls() const { return startedCalls_; }
+
+private:
+    enum class Step { Listing, Watching };
+
+    void onTimer();
+    void call();
+    void onEnd(const HttpCallEnd &end);
+    void onPage(const StorePage &page);
+    void finishListing();
+    void applyChange(const StoreChange &change);
+    void fail(const std::string &reason);
+    void succeed();
+
+    EventLoop &loop_;
+    HttpClient &client_;
+    const FormatTable &formats_;
+    Options options_;
+    ChangeHandler onChange_;
+    ReachHandler onReachChanged_;
+    Timer timer_;
+    Step step_ = Step::Listing;
+    std::unique_ptr<HttpCall> call_;
+    std::string body_;
+    Duration sentAt_ {};
+    std::string listedAfter_;                   //!< Last key of the page before.
+    std::optional<StoreRevision> listRevision_; //!< Of the first page.
+    std::unordered_map<std::string, StoreRevision> listed_;
+    std::unordered_map<std::string, StoreRevision> known_;
+    StoreRevision revision_ = 0;
+    std::optional<Duration> lastContact_;
+    std::optional<Duration> backSince_;
+    Duration failingSince_ {};
+    bool isSynchronized_ = false;
+    bool isFailing_ = false;
+    std::uint64_t startedCalls_ = 0;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_STOREFEED_H
