HttpServer: Close idle connections when accepting stops

Excluded: an answer with Connection: close alone, which reaches only callers that ask once more.

Test: idle connections when a server stops accepting (red before).

--- a/include/crocusport/transport/httpserver.h
+++ b/include/crocusport/transport/httpserver.h
@@ -55,7 +55,7 @@
     const SocketAddress &address() const;
     //! Replaces the limits, for requests that begin from now on.
     void setLimits(const HttpServerLimits &limits);
-    //! Closes the listening socket; open connections go on, without keep-alive.
+    //! Closes the listening socket and idle connections; open exchanges go on, without keep-alive.
     void stopAccepting();
     //! Answers from now on ask callers to close; new connections are still accepted.
     void closeAfterAnswers();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -434,6 +434,7 @@
     // Until the balancer has noticed the unready state, new requests still arrive and are served.
     if (elapsed < kAcceptAfterStop)
         return;
+    callers_->stopAccepting();
     const bool isIdle = services_.open.empty() && callers_->openExchanges() == 0;
     if (!isIdle && elapsed < limit)
         return;
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -93,6 +93,13 @@
     resumeTimer.stop();
     if (listener)
         evconnlistener_free(std::exchange(listener, nullptr));
+    std::vector<ServerConnection *> idle;
+    for (const auto &[key, connection] : connections) {
+        if (connection->isIdle())
+            idle.push_back(key);
+    }
+    for (auto *const connection : idle)
+        connection->close();
 }
 
 HttpServer::HttpServer() = default;
--- a/src/transport/serverconnection.cpp
+++ b/src/transport/serverconnection.cpp
@@ -78,6 +78,13 @@
     return bufferevent_get_output(bufferevent_);
 }
 
+bool ServerConnection::isIdle() const
+{
+    return !isBusy_ && !isReading_ && !isLingering_
+        && evbuffer_get_length(bufferevent_get_input(bufferevent_)) == 0
+        && evbuffer_get_length(output()) == 0;
+}
+
 bool ServerConnection::hasUnsentAnswer() const
 {
     return !isBusy_ && evbuffer_get_length(output()) > 0;
--- a/src/transport/serverconnection.h
+++ b/src/transport/serverconnection.h
@@ -37,6 +37,8 @@
     //! The exchange, which is being destroyed, is forgotten.
     void forgetExchange() { exchange_ = nullptr; }
     evbuffer *output() const;
+    //! Whether no request is being received or answered.
+    bool isIdle() const;
     //! Whether the exchange has ended and bytes of its answer have not been sent.
     bool hasUnsentAnswer() const;
     //! The answer of the exchange is complete; \a keepAlive allows another request.
--- a/tests/transport/testhttpserver.cpp
+++ b/tests/transport/testhttpserver.cpp
@@ -344,6 +344,28 @@
     }
 }
 
+SCENARIO("Idle connections when a server stops accepting")
+{
+    LoopRunner runner;
+    int handled = 0;
+    const auto server = makeServer(runner.loop(), [&](const auto &exchange) {
+        ++handled;
+        exchange->reply(200, {}, "");
+    });
+    RawClient client(runner.loop(), server->address());
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(runner.runUntil([&] { return !client.received().empty(); }));
+
+    // Guards against a request on a kept connection that is taken when the process is about to end.
+    WHEN("the connection has had its answer before")
+    {
+        server->stopAccepting();
+        runner.runFor(Milliseconds(50));
+        REQUIRE(client.isClosed());
+        REQUIRE(handled == 1);
+    }
+}
+
 SCENARIO("A server that stops accepting")
 {
     LoopRunner runner;
