ServerSelector: Keep shared prompt parts where they have been read

Change: reading again what another server holds costs 0.1 ms a token; a chain that no server holds goes to the server that all routers find by rendezvous hashing; bytes between availability zones cost by the size of body and expected answer.

Excluded: fixed servers for reports; the cost of long prompts beside urgent streams already moves them, and follows the mix.

Tests: test_gateway, placement under each of these loads.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -172,6 +172,7 @@
     work_.chains = chainHashes(request_.parts);
     work_.promptTokens = request_.promptTokens;
     work_.outputTokens = request_.expectedOutputTokens.value_or(request_.maxOutputTokens);
+    work_.bodyBytes = exchange_->body().size();
     if (route_.kind == RequestKind::Stream)
         work_.sensitivity = pauseSensitivity(route_.maxPause, work_.outputTokens);
     const auto target = exchange_->target();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -25,8 +25,8 @@
 constexpr Duration kReturnTime = std::chrono::milliseconds(2000);
 // Time after which a router that does not hear the store is not ready for keyed requests.
 constexpr double kReadyAgeShare = 0.5;
-// The load balancer asks once a second and needs two misses. Requests that are taken later may still
-// run when the process is ended by force.
+// The load balancer asks once a second and needs two misses. Requests that are taken later may
+// still run when the process is ended by force.
 constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2900);
 // The process ends by itself this long before it would be ended by force.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -1,8 +1,10 @@
 #include "serverselector.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <cmath>
 #include <limits>
+#include <optional>
 
 namespace crocusport {
 
@@ -22,8 +24,16 @@
 constexpr double kMaxDisturbingTokens = 8000;
 // A sensitive stream suffers in each of its events while prompts are read beside it.
 constexpr double kSensitivePrefillFactor = 3;
-// Bytes between zones are dear; worth about this much delay for a usual request.
-constexpr double kOtherZoneMs = 8;
+// Bytes between zones are dear: each kilobyte is worth about this much delay.
+constexpr double kOtherZoneMsPerKb = 3;
+constexpr double kBytesPerKb = 1000;
+// Bytes of an answer for each output token, with the framing of events.
+constexpr double kBytesPerOutputToken = 18;
+// Reading again what another server holds costs engine time that all requests share, and the
+// memory for a second copy.
+constexpr double kMsPerRereadToken = 0.1;
+// A chain that no server holds is read where all routers expect it, unless loads differ by this.
+constexpr double kHomeMs = 25;
 // Expected cost of an attempt that fails.
 constexpr double kFailureMs = 300;
 // Service time of one request of a plain service, until better is known.
@@ -39,6 +49,27 @@
 constexpr Duration kReferencePause = std::chrono::milliseconds(250);
 constexpr double kReferenceOutputTokens = 150;
 
+// The last part of a prompt belongs to its request or session; the parts before it are shared.
+std::optional<ChainHash> sharedChain(const WorkProfile &profile)
+{
+    if (profile.chains.size() < 2)
+        return std::nullopt;
+    return profile.chains[profile.chains.size() - 2];
+}
+
+std::uint32_t sharedTokens(const WorkProfile &profile)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < profile.parts.size(); ++i)
+        tokens += profile.parts[i].tokens;
+    return tokens;
+}
+
+std::uint64_t rendezvousScore(const BackendServerName &server, ChainHash chain)
+{
+    return XXH64(server.value().data(), server.value().size(), chain);
+}
+
 } // namespace
 
 double pauseSensitivity(Duration maxPause, std::uint32_t outputTokens)
@@ -88,23 +119,22 @@
     double cost = entry && entry->engine
         ? generationCost(server, profile, load, cachedTokens)
         : kServiceMs * load.requests / std::max(1U, server.entry.slots);
-    if (server.entry.zone != zone_)
-        cost += kOtherZoneMs;
+    if (server.entry.zone != zone_) {
+        const double bytes =
+            static_cast<double>(profile.bodyBytes) + kBytesPerOutputToken * profile.outputTokens;
+        cost += kOtherZoneMsPerKb * bytes / kBytesPerKb;
+    }
     if (now < server.coldUntil)
         cost += kColdMs;
     cost += kFailureMs * server.health.failureShare();
     return cost;
 }
 
-ServerSelector::Choice ServerSelector::choose(const PoolName &pool, const PoolEntry *entry,
-                                              const WorkProfile &profile,
-                                              const std::vector<BackendServerName> &excluded,
-                                              Instant now)
+std::vector<ServerSelector::Candidate>
+ServerSelector::candidates(const PoolName &pool, const PoolEntry *entry, const WorkProfile &profile,
+                           const std::vector<BackendServerName> &excluded, Instant now) const
 {
-    std::uniform_real_distribution<double> noise(0, kNoiseMs);
-    Choice best;
-    double bestCost = std::numeric_limits<double>::infinity();
-    bool isBestAvoided = true;
+    std::vector<Candidate> found;
     for (const auto &server : directory_.pool(pool)) {
         if (!server->isUsable()
             || std::find(excluded.begin(), excluded.end(), server->entry.name) != excluded.end())
@@ -122,8 +152,45 @@
             ? 0
             : prefixes_.cachedTokens(serverHash(server->entry.name), profile.parts, profile.chains,
                                      now);
+        found.push_back({ server, cached });
+    }
+    return found;
+}
+
+ServerSelector::Choice ServerSelector::choose(const PoolName &pool, const PoolEntry *entry,
+                                              const WorkProfile &profile,
+                                              const std::vector<BackendServerName> &excluded,
+                                              Instant now)
+{
+    std::uniform_real_distribution<double> noise(0, kNoiseMs);
+    const auto servers = candidates(pool, entry, profile, excluded, now);
+    std::uint32_t mostCached = 0;
+    for (const auto &candidate : servers)
+        mostCached = std::max(mostCached, candidate.cachedTokens);
+    const auto homeChain = sharedChain(profile);
+    const bool isNewChain = homeChain && mostCached < sharedTokens(profile);
+    std::uint64_t homeScore = 0;
+    BackendServerName home;
+    for (const auto &candidate : servers) {
+        if (!isNewChain)
+            break;
+        const auto &name = candidate.server->entry.name;
+        const auto score = rendezvousScore(name, *homeChain);
+        if (score >= homeScore) {
+            homeScore = score;
+            home = name;
+        }
+    }
+
+    Choice best;
+    double bestCost = std::numeric_limits<double>::infinity();
+    bool isBestAvoided = true;
+    for (const auto &[server, cached] : servers) {
         const bool isAvoided = server->health.isAvoided(now);
-        const double serverCost = cost(*server, entry, profile, cached, now) + noise(random_);
+        double serverCost = cost(*server, entry, profile, cached, now) + noise(random_);
+        serverCost += kMsPerRereadToken * (mostCached - cached);
+        if (isNewChain && server->entry.name != home)
+            serverCost += kHomeMs;
         if (std::pair(isAvoided, serverCost) < std::pair(isBestAvoided, bestCost)) {
             best = { server, profile.loadWith(cached) };
             bestCost = serverCost;
--- a/src/gateway/serverselector.h
+++ b/src/gateway/serverselector.h
@@ -16,6 +16,7 @@
     std::vector<ChainHash> chains;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
+    std::size_t bodyBytes = 0;
     /*!
         How much long prompts beside it harm the request, 0 to 1: high for streams of many events
         with a short longest pause.
@@ -60,6 +61,17 @@
                   const std::vector<BackendServerName> &excluded, Instant now);
 
 private:
+    //! A server of the pool that can take the request, with what it has of the prompt.
+    struct Candidate
+    {
+        ServerDirectory::ServerPointer server;
+        std::uint32_t cachedTokens = 0;
+    };
+
+    std::vector<Candidate> candidates(const PoolName &pool, const PoolEntry *entry,
+                                      const WorkProfile &profile,
+                                      const std::vector<BackendServerName> &excluded,
+                                      Instant now) const;
     double cost(const KnownServer &server, const PoolEntry *entry, const WorkProfile &profile,
                 std::uint32_t cachedTokens, Instant now) const;
     double generationCost(const KnownServer &server, const WorkProfile &profile,
--- /dev/null
+++ b/tests/gateway/testserverselector.cpp
@@ -0,0 +1,192 @@
+#include "serverselector.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+
+using namespace crocusport;
+
+namespace {
+
+const PoolName kPool("assistant");
+
+//! Some engines of one pool, and a selector in the first availability zone.
+struct Engines
+{
+    explicit Engines(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            ServerEntry entry;
+            entry.name = BackendServerName("engine-" + std::to_string(i));
+            entry.pool = kPool;
+            entry.address = SocketAddress("10.0.0." + std::to_string(i + 1) + ":80");
+            entry.zone = AvailabilityZone("zone-0");
+            entry.slots = 64;
+            entry.sequence = 1;
+            directory.update(entry, now);
+        }
+        pool.name = kPool;
+        pool.engine = EngineProfile { 64, 700'000, 6 };
+    }
+
+    ServerSelector::Choice choose(const WorkProfile &work)
+    {
+        return selector.choose(kPool, &pool, work, {}, now);
+    }
+    //! Places a request as a router does, and keeps it running.
+    std::string place(const WorkProfile &work)
+    {
+        const auto choice = choose(work);
+        choice.server->own += choice.added;
+        for (const auto chain : work.chains)
+            prefixes.note(serverHash(choice.server->entry.name), chain, now);
+        return choice.server->entry.name.value();
+    }
+
+    Instant now = Instant(std::chrono::seconds(100));
+    ServerDirectory directory;
+    PrefixMemory prefixes;
+    PoolEntry pool;
+    ServerSelector selector { directory, prefixes, AvailabilityZone("zone-0"), 1 };
+};
+
+WorkProfile prompt(std::vector<PromptPart> parts, double sensitivity)
+{
+    WorkProfile work;
+    work.parts = std::move(parts);
+    work.chains = chainHashes(work.parts);
+    for (const auto &part : work.parts)
+        work.promptTokens += part.tokens;
+    work.outputTokens = 300;
+    work.sensitivity = sensitivity;
+    return work;
+}
+
+} // namespace
+
+SCENARIO("Long prompts beside short urgent streams")
+{
+    Engines engines(4);
+    const auto chat = prompt({ { 1, 600 } }, 1);
+    const auto report = prompt({ { 2, 12'000 } }, 0.06);
+
+    // Guards against streams that miss their longest pause because an engine reads a long prompt in
+    // chunks between their tokens, while other engines are idle.
+    WHEN("one engine runs urgent streams")
+    {
+        const auto busy = engines.place(chat);
+        THEN("a report goes to another")
+        {
+            REQUIRE(engines.place(report) != busy);
+        }
+    }
+    WHEN("one engine reads a report")
+    {
+        const auto reading = engines.place(report);
+        THEN("a burst of urgent streams goes to the others")
+        {
+            for (int i = 0; i < 12; ++i)
+                REQUIRE(engines.place(chat) != reading);
+        }
+    }
+}
+
+SCENARIO("Requests that share a long part of their prompts")
+{
+    Engines engines(5);
+
+    // Guards against engines that each read the same part, which takes time from all requests.
+    WHEN("they come one after the other from one router")
+    {
+        const auto first = engines.place(prompt({ { 7, 5000 }, { 8, 1000 } }, 0.06));
+        THEN("they go where the part has been read")
+        {
+            for (std::uint64_t i = 0; i < 4; ++i)
+                REQUIRE(engines.place(prompt({ { 7, 5000 }, { 100 + i, 1000 } }, 0.06)) == first);
+        }
+    }
+    WHEN("several routers meet the part for the first time")
+    {
+        THEN("they choose the same engine without hearing each other")
+        {
+            std::map<std::string, int> chosen;
+            for (int router = 0; router < 8; ++router) {
+                Engines own(5);
+                ++chosen[own.place(prompt({ { 7, 5000 }, { 8, 1000 } }, 0.06))];
+            }
+            REQUIRE(chosen.size() == 1);
+        }
+    }
+    // Guards against one engine that a popular part overloads while the rest is idle.
+    WHEN("far more of them wait there than the part takes to read")
+    {
+        const auto first = engines.place(prompt({ { 7, 5000 }, { 8, 1000 } }, 0.06));
+        engines.directory.find(BackendServerName(first))->own.prefillTokens += 100'000;
+        THEN("another engine reads it as well")
+        {
+            REQUIRE(engines.place(prompt({ { 7, 5000 }, { 9, 1000 } }, 0.06)) != first);
+        }
+    }
+}
+
+SCENARIO("Engines that must not be chosen")
+{
+    Engines engines(2);
+    const auto chat = prompt({ { 1, 600 } }, 1);
+    const BackendServerName first("engine-0");
+    const BackendServerName second("engine-1");
+
+    // Guards against requests to a server that is about to leave.
+    WHEN("one is leaving")
+    {
+        auto entry = engines.directory.find(first)->entry;
+        entry.state = BackendServerState::Leaving;
+        ++entry.sequence;
+        REQUIRE(engines.directory.update(entry, engines.now));
+        REQUIRE(engines.place(chat) == "engine-1");
+
+        // Guards against a late copy of an older entry that makes it usable again.
+        AND_WHEN("an older entry arrives late")
+        {
+            entry.state = BackendServerState::Live;
+            --entry.sequence;
+            REQUIRE_FALSE(engines.directory.update(entry, engines.now));
+            REQUIRE(engines.place(chat) == "engine-1");
+        }
+    }
+    WHEN("one is full")
+    {
+        engines.directory.find(first)->others.requests = 64;
+        REQUIRE(engines.place(chat) == "engine-1");
+    }
+    // Guards against preemption, which throws away what an engine has read.
+    WHEN("the memory of one is planned with already")
+    {
+        auto &load = engines.directory.find(first)->others;
+        load.requests = 10;
+        load.memoryTokens = 690'000;
+        REQUIRE(engines.place(chat) == "engine-1");
+    }
+    WHEN("connections to one broke just now")
+    {
+        engines.directory.find(second)->health.noteBrokenConnection(engines.now);
+        REQUIRE(engines.place(chat) == "engine-0");
+    }
+    WHEN("all are gone")
+    {
+        engines.directory.remove(first, engines.now);
+        engines.directory.remove(second, engines.now);
+        REQUIRE_FALSE(engines.choose(chat).server);
+
+        // Guards against a late entry of a server that has left, whose address others may have.
+        AND_WHEN("a late entry of one arrives")
+        {
+            ServerEntry entry;
+            entry.name = first;
+            entry.pool = kPool;
+            entry.sequence = 1;
+            REQUIRE_FALSE(engines.directory.update(entry, engines.now));
+        }
+    }
+}
