Gateway: Replay the platform's failures on stand-ins

The tests run one gateway with the platform's formats, a store and two backend servers on one loop.

RetryWindow now spends an equal part of half the slack instead of none in its first ten seconds: the test of a repeat after a broken connection showed that a router repeated nothing then.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -338,7 +338,7 @@
 RetryWindow &Gateway::retryWindow(const PoolName &pool)
 {
     const RetryLimits limits { settings_.retryRatio, settings_.retrySlack, settings_.retryWindow };
-    return retryWindows_.try_emplace(pool, limits, started_).first->second;
+    return retryWindows_.try_emplace(pool, limits).first->second;
 }
 
 std::size_t Gateway::routerCount() const
--- a/src/gateway/retrywindow.cpp
+++ b/src/gateway/retrywindow.cpp
@@ -8,12 +8,11 @@
 
 // Part of the budget that is used: arrivals are counted at the servers, a little later than here.
 constexpr double kUsedShare = 0.8;
+// The other half is for what was spent before a restart.
+constexpr double kSlackShare = 0.5;
 
 } // namespace
 
-RetryWindow::RetryWindow(const RetryLimits &limits, Instant start) : limits_(limits), start_(start)
-{ }
-
 void RetryWindow::expire(std::deque<Instant> &times, Instant limit)
 {
     while (!times.empty() && times.front() <= limit)
@@ -31,8 +30,8 @@
     expire(requests_, now - limits_.window);
     expire(repeats_, now - limits_.window);
     double allowed = limits_.ratio * static_cast<double>(requests_.size());
-    if (now - start_ >= limits_.window && routerCount > 0)
-        allowed += limits_.slack / static_cast<double>(routerCount);
+    if (routerCount > 0)
+        allowed += kSlackShare * limits_.slack / static_cast<double>(routerCount);
     if (static_cast<double>(repeats_.size()) + 1 > kUsedShare * allowed)
         return false;
     repeats_.push_back(now);
--- a/src/gateway/retrywindow.h
+++ b/src/gateway/retrywindow.h
@@ -18,16 +18,15 @@
 
 /*!
     The share of one pool's retry budget that this router may spend: the ratio of its own requests,
-    and an equal part of the slack. So the routers together stay within the budget without hearing
-    each other.
+    and an equal part of half the slack. So the routers together stay within the budget without
+    hearing each other, and also when all of them start again and have forgotten what they spent.
 
     Thread safety: none; use from one thread.
 */
 class RetryWindow
 {
 public:
-    //! \a start is when the router began; what it spent before a restart is not known.
-    RetryWindow(const RetryLimits &limits, Instant start);
+    explicit RetryWindow(const RetryLimits &limits) : limits_(limits) { }
 
     void noteRequest(Instant now);
     //! Takes one repeat out of the budget of \a routerCount routers. Returns false if it is spent.
@@ -37,7 +36,6 @@
     static void expire(std::deque<Instant> &times, Instant limit);
 
     RetryLimits limits_;
-    Instant start_;
     std::deque<Instant> requests_;
     std::deque<Instant> repeats_;
 };
--- /dev/null
+++ b/tests/platform/deployment.cpp
@@ -0,0 +1,152 @@
+#include "deployment.h"
+
+#include "platformformats.h"
+
+#include "../transport/rawclient.h"
+#include "../transport/servers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+
+#include <stdexcept>
+
+namespace crocusport {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto kFormats = formatTable<platform::PlatformFormats>();
+
+Json routeJson(const std::string &kind, const std::string &wireKind, bool isResumable,
+               int maxAttempts)
+{
+    return { { "name", kind },
+             { "host", "app.example" },
+             { "pathPrefix", "/" + kind + "/" },
+             { "kind", wireKind },
+             { "timeoutMs", 2000 },
+             { "targetLatencyMs", 400 },
+             { "gapAimMs", 200 },
+             { "priority", 1 },
+             { "service", "pool" },
+             { "maxAttempts", maxAttempts },
+             { "allowAnonymous", false },
+             { "sessionAffinity", wireKind == "stream" },
+             { "resumable", isResumable } };
+}
+
+} // namespace
+
+StandInServer::StandInServer(EventLoop &loop, std::string name) : name_(std::move(name))
+{
+    server_ = makeServer(loop, [this](const std::shared_ptr<HttpExchange> &exchange) {
+        requests.push_back(exchange->headers());
+        lastTarget = exchange->target();
+        lastBody = exchange->body();
+        if (handler)
+            handler(exchange);
+        else
+            exchange->reply(200, sealedHeaders(*exchange), "done");
+    });
+}
+
+HttpHeaders StandInServer::sealedHeaders(const HttpExchange &exchange) const
+{
+    return { { "X-Attempt-Id", exchange.header("X-Attempt-Id").value_or("") },
+             { "X-Response-Seal", "seal-of-" + name_ } };
+}
+
+std::string StandInServer::header(const HttpHeaders &headers, const std::string &name)
+{
+    for (const auto &[key, value] : headers) {
+        if (key == name)
+            return value;
+    }
+    return {};
+}
+
+Deployment::Deployment(LoopRunner &loopRunner, Milliseconds revocationBound)
+    : runner(loopRunner), store(runner.loop()), first(runner.loop(), "first"),
+      second(runner.loop(), "second")
+{
+    GatewaySettings settings;
+    settings.router = RouterName("router-1");
+    settings.zone = AvailabilityZone("zone-1");
+    settings.callers = SocketAddress("127.0.0.1:0");
+    settings.ready = SocketAddress("127.0.0.1:0");
+    settings.ip = "127.0.0.1";
+    settings.store = store.address();
+    settings.revocationBound = revocationBound;
+    settings.isRevocationStrict = true;
+    settings.retryRatio = 1;
+    settings.retrySlack = 100;
+    settings.retryWindow = std::chrono::seconds(10);
+    settings.shutdownGrace = std::chrono::seconds(8);
+    settings.storePollInterval = std::chrono::milliseconds(20);
+    settings.reportInterval = std::chrono::milliseconds(100);
+    const int discarded = open("/dev/null", O_WRONLY | O_CLOEXEC);
+    gateway =
+        handleErrors([&] { return Gateway::create(runner.loop(), settings, kFormats, discarded); },
+                     [](const Error &error) -> std::unique_ptr<Gateway> {
+                         throw std::runtime_error(error.message);
+                     });
+}
+
+void Deployment::configure(int version, const std::string &key)
+{
+    const Json configuration = {
+        { "version", version },
+        { "routes",
+          { routeJson("safe", "safe", false, 2), routeJson("unsafe", "unsafe", false, 1),
+            routeJson("stream", "stream", true, 2), routeJson("fragile", "stream", false, 1) } },
+        { "services",
+          { { { "name", "pool" }, { "healthPath", "/health" }, { "maxConns", 100 } } } },
+        { "limits",
+          { { "maxHeaderBytes", 4096 },
+            { "maxBodyBytes", 100'000 },
+            { "headerTimeoutMs", 1000 },
+            { "idleTimeoutMs", 15'000 } } },
+        { "tenants", { { { "name", "team-1" }, { "apiKeys", { key } }, { "priority", 1 } } } }
+    };
+    store.put("op/config", configuration.dump());
+}
+
+void Deployment::enter(const StandInServer &server, const std::string &state)
+{
+    const Json entry = { { "service", "pool" }, { "address", server.address().value() },
+                         { "zone", "zone-1" },  { "slots", 4 },
+                         { "state", state },    { "coldRemainingMs", 0 },
+                         { "born", 1000 },      { "seq", ++sequence_ } };
+    store.put("servers/" + server.name(), entry.dump());
+}
+
+void Deployment::settle()
+{
+    runner.runFor(Milliseconds(100));
+}
+
+bool Deployment::waitReady()
+{
+    return runner.runUntil([this] { return gateway->isReady(); });
+}
+
+std::string Deployment::request(const std::string &kind, const std::string &extra,
+                                const std::string &key)
+{
+    return "POST /" + kind + "/1?a=b HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: id-1\r\n"
+        + "X-Deadline-Ms: 1500\r\nAuthorization: Token " + key + "\r\n" + extra
+        + "Content-Length: 4\r\n\r\nbody";
+}
+
+int Deployment::readyStatus()
+{
+    RawClient client(runner.loop(), gateway->readyAddress());
+    client.send("GET /crocusport/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    if (!runner.runUntil([&] { return client.received().size() > 12; }))
+        return 0;
+    return std::stoi(client.received().substr(9, 3));
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/tests/platform/standinstore.h
@@ -0,0 +1,62 @@
+#ifndef CROCUSPORT_STANDINSTORE_H
+#define CROCUSPORT_STANDINSTORE_H
+
+#include "crocusport/transport/eventloop.h"
+#include "crocusport/transport/httpserver.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace crocusport {
+
+//! A small stand-in for the platform's store: items, leases without an end, and all changes.
+class StandInStore
+{
+public:
+    //! How calls are answered.
+    enum class Mode { Serving, Refusing, Silent };
+
+    explicit StandInStore(EventLoop &loop);
+
+    const SocketAddress &address() const { return server_->address(); }
+    void put(const std::string &key, const std::string &value);
+    void erase(const std::string &key);
+    //! Answers 410 to all watches from before now.
+    void dropHistory() { historyStart_ = revision_; }
+    void setMode(Mode mode) { mode_ = mode; }
+    bool has(const std::string &key) const { return items_.contains(key); }
+    int callCount() const { return callCount_; }
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::int64_t revision = 0;
+    };
+    struct Change
+    {
+        std::string key;
+        bool isDeleted = false;
+        Item item;
+    };
+
+    void answer(const std::shared_ptr<HttpExchange> &exchange);
+    std::string range() const;
+    std::string watch(std::int64_t after) const;
+
+    std::unique_ptr<HttpServer> server_;
+    std::map<std::string, Item> items_;
+    std::vector<Change> changes_;
+    std::vector<std::shared_ptr<HttpExchange>> unanswered_;
+    std::int64_t revision_ = 1;
+    std::int64_t historyStart_ = 0;
+    Mode mode_ = Mode::Serving;
+    int callCount_ = 0;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_STANDINSTORE_H
--- /dev/null
+++ b/tests/platform/testforwarding.cpp
@@ -0,0 +1,426 @@
+#include "deployment.h"
+
+#include "../transport/rawclient.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+
+namespace {
+
+std::string eventText(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece-" + std::to_string(id) + "\n\n";
+}
+
+bool isAnswered(const RawClient &client, const std::string &status)
+{
+    return client.received().starts_with("HTTP/1.1 " + status);
+}
+
+bool contains(const RawClient &client, const std::string &text)
+{
+    return client.received().find(text) != std::string::npos;
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+} // namespace
+
+SCENARIO("A request reaches the backend server that its route and key select")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    const auto answered = [&](const std::string &status) {
+        return runner.runUntil([&] { return isAnswered(client, status); });
+    };
+
+    // Guards against a refusal that is final for callers, from a router that knows nothing yet.
+    WHEN("the router has no configuration")
+    {
+        client.send(Deployment::request("safe"));
+        REQUIRE(answered("503"));
+        REQUIRE(contains(client, "Retry-After: 0."));
+        REQUIRE(deployment.readyStatus() == 503);
+    }
+    WHEN("the configuration and a server are known")
+    {
+        deployment.configure(7);
+        deployment.enter(deployment.first);
+        REQUIRE(deployment.waitReady());
+        REQUIRE(deployment.readyStatus() == 200);
+
+        // Guards against requests that arrive changed, or with what a caller must not set.
+        THEN("it arrives unchanged, with what the system adds")
+        {
+            client.send(Deployment::request("unsafe",
+                                            "X-Other: kept\r\nX-Tenant: forged\r\n"
+                                            "X-Kv-Hold: forged\r\nX-Expect-Instance: forged\r\n"
+                                            "Connection: X-Hop\r\nX-Hop: dropped\r\n"));
+            REQUIRE(answered("200"));
+            REQUIRE(contains(client, "X-Response-Seal: seal-of-first"));
+            REQUIRE(contains(client, "\r\n\r\ndone"));
+            const auto &server = deployment.first;
+            REQUIRE(server.requests.size() == 1);
+            REQUIRE(server.lastTarget == "/unsafe/1?a=b");
+            REQUIRE(server.lastBody == "body");
+            const auto header = [&](const std::string &name) {
+                return StandInServer::header(server.requests[0], name);
+            };
+            REQUIRE(header("Host") == "app.example");
+            REQUIRE(header("X-Attempt-Id") == "id-1");
+            REQUIRE(header("X-Other") == "kept");
+            REQUIRE(header("X-Tenant") == "team-1");
+            REQUIRE(header("X-Expect-Instance") == "first");
+            REQUIRE(header("X-Kv-Hold").empty());
+            REQUIRE(header("X-Hop").empty());
+            REQUIRE(header("Authorization").empty());
+            REQUIRE(std::stoi(header("X-Deadline-Ms")) <= 1500);
+            REQUIRE(std::stoi(header("X-Deadline-Ms")) > 1000);
+        }
+        THEN("an unknown route and an unknown key are refused")
+        {
+            client.send("GET /none/ HTTP/1.1\r\nHost: app.example\r\nX-Attempt-Id: 1\r\n\r\n");
+            REQUIRE(answered("404"));
+            RawClient other(runner.loop(), deployment.gateway->callersAddress());
+            other.send(Deployment::request("safe", "", "key-2"));
+            REQUIRE(runner.runUntil([&] { return isAnswered(other, "401"); }));
+            REQUIRE(deployment.first.requests.empty());
+        }
+        // Guards against a router that goes back to an older configuration.
+        THEN("an older configuration changes nothing")
+        {
+            deployment.configure(6, "key-old");
+            deployment.settle();
+            client.send(Deployment::request("safe"));
+            REQUIRE(answered("200"));
+        }
+        THEN("a key that is taken away is refused")
+        {
+            deployment.configure(8, "key-2");
+            deployment.settle();
+            client.send(Deployment::request("safe"));
+            REQUIRE(answered("401"));
+        }
+        // Guards against an entry of another writer that names no server.
+        THEN("entries that cannot be read harm nothing")
+        {
+            deployment.store.put("servers/broken", "{\"service\":3");
+            deployment.store.put("servers/partial", R"({"service":"pool"})");
+            deployment.settle();
+            client.send(Deployment::request("safe"));
+            REQUIRE(answered("200"));
+        }
+        THEN("a leaving server gets no more requests")
+        {
+            deployment.enter(deployment.first, "draining");
+            deployment.enter(deployment.second);
+            deployment.settle();
+            client.send(Deployment::request("safe"));
+            REQUIRE(answered("200"));
+            REQUIRE(contains(client, "seal-of-second"));
+        }
+        THEN("changes are seen after the store has dropped its history")
+        {
+            deployment.store.dropHistory();
+            deployment.store.erase("servers/first");
+            deployment.store.dropHistory();
+            deployment.enter(deployment.second);
+            deployment.settle();
+            client.send(Deployment::request("safe"));
+            REQUIRE(answered("200"));
+            REQUIRE(contains(client, "seal-of-second"));
+        }
+    }
+}
+
+SCENARIO("A router that does not hear the store")
+{
+    LoopRunner runner;
+    Deployment deployment(runner, Milliseconds(1200));
+    deployment.configure(1);
+    deployment.enter(deployment.first);
+    REQUIRE(deployment.waitReady());
+    const auto mode = GENERATE(StandInStore::Mode::Refusing, StandInStore::Mode::Silent);
+    deployment.store.setMode(mode);
+
+    // Guards against a key that was taken away meanwhile and still works here.
+    THEN("it refuses keys before the bound, is not ready, and serves again afterwards")
+    {
+        runner.runFor(Milliseconds(750));
+        RawClient early(runner.loop(), deployment.gateway->callersAddress());
+        early.send(Deployment::request("safe"));
+        REQUIRE(runner.runUntil([&] { return isAnswered(early, "503"); }));
+        REQUIRE(deployment.readyStatus() == 503);
+        REQUIRE(deployment.first.requests.empty());
+
+        deployment.store.setMode(StandInStore::Mode::Serving);
+        REQUIRE(deployment.waitReady());
+        RawClient late(runner.loop(), deployment.gateway->callersAddress());
+        late.send(Deployment::request("safe"));
+        REQUIRE(runner.runUntil([&] { return isAnswered(late, "200"); }));
+    }
+    // Guards against a whole pool that is lost because entries lapsed while the store was away.
+    THEN("servers whose entries lapsed are kept until they can be back")
+    {
+        if (mode == StandInStore::Mode::Silent)
+            return;
+        runner.runFor(Milliseconds(1100));
+        deployment.store.erase("servers/first");
+        deployment.store.setMode(StandInStore::Mode::Serving);
+        REQUIRE(deployment.waitReady());
+        RawClient client(runner.loop(), deployment.gateway->callersAddress());
+        client.send(Deployment::request("safe"));
+        REQUIRE(runner.runUntil([&] { return isAnswered(client, "200"); }));
+        runner.runFor(Milliseconds(2300));
+        RawClient late(runner.loop(), deployment.gateway->callersAddress());
+        late.send(Deployment::request("safe"));
+        REQUIRE(runner.runUntil([&] { return isAnswered(late, "503"); }));
+    }
+}
+
+SCENARIO("What callers are told when a backend server fails")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    deployment.configure(1);
+    deployment.enter(deployment.first);
+    REQUIRE(deployment.waitReady());
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    auto &first = deployment.first;
+    auto &second = deployment.second;
+    const auto isGenerated = [&](const std::string &status) {
+        return runner.runUntil([&] { return isAnswered(client, status); });
+    };
+
+    // Guards against "has not run" about a request that may have run, and against a second run.
+    WHEN("the connection breaks under a request that may run once")
+    {
+        deployment.enter(second);
+        deployment.settle();
+        const auto kind = GENERATE(std::string("unsafe"), std::string("fragile"));
+        first.handler = second.handler = [](const auto &exchange) { exchange->abort(); };
+        client.send(Deployment::request(kind));
+        REQUIRE(isGenerated("502"));
+        REQUIRE(first.requests.size() + second.requests.size() == 1);
+    }
+    WHEN("the connection breaks under a request that may be repeated")
+    {
+        deployment.enter(second);
+        deployment.settle();
+        int calls = 0;
+        first.handler = second.handler = [&](const auto &exchange) {
+            if (++calls == 1)
+                exchange->abort();
+            else
+                exchange->reply(200, first.sealedHeaders(*exchange), "again");
+        };
+        client.send(Deployment::request("safe"));
+        REQUIRE(isGenerated("200"));
+        REQUIRE(calls == 2);
+    }
+    WHEN("a server fails a request that may be repeated")
+    {
+        deployment.enter(second);
+        deployment.settle();
+        int calls = 0;
+        first.handler = second.handler = [&](const auto &exchange) {
+            exchange->reply(++calls == 1 ? 500 : 200, first.sealedHeaders(*exchange), "");
+        };
+        client.send(Deployment::request("safe"));
+        REQUIRE(isGenerated("200"));
+        REQUIRE(calls == 2);
+    }
+    WHEN("the server says that it did not run the request")
+    {
+        first.handler = [](const auto &exchange) {
+            exchange->reply(503, { { "X-Not-Executed", "1" } }, "");
+        };
+        THEN("another server gets it, whatever its kind")
+        {
+            deployment.enter(second);
+            deployment.settle();
+            for (int i = 0; i < 8; ++i) {
+                RawClient caller(runner.loop(), deployment.gateway->callersAddress());
+                caller.send(Deployment::request("unsafe"));
+                REQUIRE(runner.runUntil([&] { return isAnswered(caller, "200"); }));
+            }
+        }
+        THEN("the caller hears that it has not run when there is no other")
+        {
+            client.send(Deployment::request("unsafe"));
+            REQUIRE(isGenerated("503"));
+            REQUIRE(contains(client, "Retry-After: "));
+        }
+    }
+    // Guards against a promise that no server has made.
+    WHEN("the server answers 503 without that word")
+    {
+        first.handler = [&](const auto &exchange) {
+            exchange->reply(503, first.sealedHeaders(*exchange), "");
+        };
+        client.send(Deployment::request("unsafe"));
+        REQUIRE(isGenerated("502"));
+        REQUIRE_FALSE(contains(client, "seal"));
+    }
+    // Guards against an answer that no server vouches for, or that belongs to another request.
+    WHEN("a success is not sealed, is encoded, or names another request")
+    {
+        const auto headers = GENERATE(values<HttpHeaders>({
+            { { "X-Attempt-Id", "id-1" } },
+            { { "X-Response-Seal", "s" } },
+            { { "X-Attempt-Id", "id-2" }, { "X-Response-Seal", "s" } },
+            { { "X-Attempt-Id", "id-1" },
+              { "X-Response-Seal", "s" },
+              { "Content-Encoding", "br" } },
+        }));
+        first.handler = [&](const auto &exchange) { exchange->reply(200, headers, "wrong"); };
+        client.send(Deployment::request("unsafe"));
+        REQUIRE(isGenerated("502"));
+        REQUIRE_FALSE(contains(client, "wrong"));
+    }
+    WHEN("no server can be reached")
+    {
+        deployment.store.erase("servers/first");
+        deployment.settle();
+        client.send(Deployment::request("unsafe"));
+        REQUIRE(isGenerated("503"));
+    }
+    // Guards against a caller that is kept waiting past its time.
+    WHEN("the server is silent until the caller's time is over")
+    {
+        std::shared_ptr<HttpExchange> held;
+        first.handler = [&](const auto &exchange) { held = exchange; };
+        client.send(Deployment::request("unsafe"));
+        REQUIRE(isGenerated("504"));
+        REQUIRE(runner.runUntil([&] { return held->isClosed(); }));
+    }
+    // Guards against work for a caller that has left.
+    WHEN("the caller leaves")
+    {
+        std::shared_ptr<HttpExchange> held;
+        first.handler = [&](const auto &exchange) { held = exchange; };
+        auto leaving =
+            std::make_unique<RawClient>(runner.loop(), deployment.gateway->callersAddress());
+        leaving->send(Deployment::request("unsafe"));
+        REQUIRE(runner.runUntil([&] { return held != nullptr; }));
+        leaving.reset();
+        runner.runFor(Milliseconds(100));
+        REQUIRE(held->isClosed());
+    }
+}
+
+SCENARIO("Streams")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    deployment.configure(1);
+    deployment.enter(deployment.first);
+    REQUIRE(deployment.waitReady());
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    auto &first = deployment.first;
+    auto &second = deployment.second;
+    std::shared_ptr<HttpExchange> stream;
+    first.handler = [&](const auto &exchange) {
+        stream = exchange;
+        exchange->startStream(200, first.sealedHeaders(*exchange));
+        exchange->sendChunk(eventText(1) + eventText(2).substr(0, 9));
+    };
+
+    WHEN("events arrive in pieces")
+    {
+        client.send(Deployment::request("stream"));
+        REQUIRE(runner.runUntil([&] { return contains(client, "piece-1"); }));
+
+        THEN("whole events are passed on as they arrive")
+        {
+            REQUIRE_FALSE(contains(client, "id: 2"));
+            stream->sendChunk(eventText(2).substr(9));
+            REQUIRE(runner.runUntil([&] { return contains(client, "piece-2"); }));
+            stream->endStream();
+            REQUIRE(runner.runUntil([&] { return contains(client, "0\r\n\r\n"); }));
+        }
+        // Guards against pieces that are lost, repeated or joined when a stream goes on elsewhere.
+        THEN("a broken one goes on at another server after its last whole event")
+        {
+            deployment.enter(second);
+            deployment.settle();
+            second.handler = [&](const auto &exchange) {
+                exchange->startStream(200, second.sealedHeaders(*exchange));
+                // An event that the caller has already is left out.
+                exchange->sendChunk(eventText(1) + eventText(2) + eventText(3));
+                exchange->endStream();
+            };
+            stream->abort();
+            REQUIRE(runner.runUntil([&] { return contains(client, "0\r\n\r\n"); }));
+            REQUIRE(StandInServer::header(second.requests.at(0), "Last-Event-Id") == "1");
+            for (int id = 1; id <= 3; ++id)
+                REQUIRE(countOf(client.received(), "piece-" + std::to_string(id)) == 1);
+            REQUIRE(contains(client, "seal-of-first"));
+            REQUIRE_FALSE(contains(client, "seal-of-second"));
+        }
+        // Guards against half an event that looks like the end of the answer.
+        THEN("an end in the middle of an event is no end")
+        {
+            stream->endStream();
+            REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+            REQUIRE_FALSE(contains(client, "0\r\n\r\n"));
+        }
+    }
+    WHEN("a stream that must not run again breaks")
+    {
+        client.send(Deployment::request("fragile"));
+        REQUIRE(runner.runUntil([&] { return contains(client, "piece-1"); }));
+        deployment.enter(second);
+        deployment.settle();
+        stream->abort();
+        // Guards against a cut answer that looks complete.
+        THEN("the caller sees that it is cut")
+        {
+            REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+            REQUIRE_FALSE(contains(client, "0\r\n\r\n"));
+            REQUIRE(second.requests.empty());
+        }
+    }
+}
+
+SCENARIO("A gateway that is stopped")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    deployment.configure(1);
+    deployment.enter(deployment.first);
+    REQUIRE(deployment.waitReady());
+    std::shared_ptr<HttpExchange> stream;
+    deployment.first.handler = [&](const auto &exchange) {
+        stream = exchange;
+        exchange->startStream(200, deployment.first.sealedHeaders(*exchange));
+        exchange->sendChunk(eventText(1));
+    };
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    client.send(Deployment::request("stream"));
+    REQUIRE(runner.runUntil([&] { return contains(client, "piece-1"); }));
+    deployment.gateway->shutDown();
+
+    // Guards against requests that a planned stop cuts, and against callers that still arrive.
+    THEN("it is unready at once, takes late callers and finishes the stream")
+    {
+        REQUIRE(deployment.readyStatus() == 503);
+        deployment.first.handler = nullptr;
+        RawClient late(runner.loop(), deployment.gateway->callersAddress());
+        late.send(Deployment::request("safe"));
+        REQUIRE(runner.runUntil([&] { return isAnswered(late, "200"); }));
+        REQUIRE(contains(late, "Connection: close"));
+        stream->sendChunk(eventText(2));
+        stream->endStream();
+        REQUIRE(runner.runUntil([&] { return contains(client, "0\r\n\r\n"); }));
+        REQUIRE_FALSE(client.isReset());
+    }
+}
