Gateway: Report within a zone, and share what is read from the store

Change: above 16 routers, reports go to the own zone, and one router of each zone tells the others its sum once a second; the interval grows with the routers of the zone; sums are kept by differences. A report says up to which revision its router has read the store and how old that knowledge is, so that routers of a zone need fewer calls; reports that may have waited in a queue are not believed. Servers whose connections broke are told. Silence is measured by the objective and the longest pause of the route. New: rank of servers, home cost by shared tokens.

Excluded: stale reads of the store, which prove nothing about age.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -33,8 +33,15 @@
 constexpr int kMaxUnsentAttempts = 4;
 // Attempts that a server may refuse as not run, beyond those that may run.
 constexpr int kMaxRefusedAttempts = 2;
-// Silence after which a request that may run again is sent to another server.
-constexpr Duration kIdempotentSilence = std::chrono::milliseconds(1700);
+// Silence after which a stream that may run again is sent to another server, at least. A server
+// that does not even acknowledge shows much earlier.
+constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1700);
+// Callers give a stream up after four times its objective or eight times its longest pause.
+constexpr int kSilentTargets = 2;
+constexpr int kSilentPauses = 4;
+// A safe request is repeated after this many times its objective, and not before the time that a
+// usual server may need.
+constexpr Duration kMinSafeSilence = std::chrono::milliseconds(200);
 // Share of the latency objective for which a request waits for a place.
 constexpr double kWaitShare = 0.5;
 // Advice to callers when the router itself cannot serve.
@@ -255,7 +262,7 @@
     load_ = choice.added;
     server_->own += load_;
     services_.loadChanged();
-    const auto hash = serverHash(server_->entry.name);
+    const auto hash = server_->hash;
     for (const auto chain : work_.chains) {
         services_.prefixes.note(hash, chain, now);
         services_.chainSent(hash, chain);
@@ -290,12 +297,21 @@
     call.headers = services_.formats.attemptHeaders(request_, head);
     call.body = exchange_->body();
     call.connectTimeout = std::min(kConnectTimeout, remaining);
-    call.progressTimeout =
-        route_.isIdempotent() ? std::min(kIdempotentSilence, remaining) : remaining;
+    call.progressTimeout = std::min(silenceLimit(), remaining);
     call.acceptsCloseDelimited = true;
     return call;
 }
 
+Duration ForwardedRequest::silenceLimit() const
+{
+    if (!route_.isIdempotent())
+        return Duration::max();
+    if (route_.kind == RequestKind::Safe)
+        return std::max(route_.target * kSilentTargets, kMinSafeSilence);
+    return std::max(
+        { kMinStreamSilence, route_.target * kSilentTargets, route_.maxPause * kSilentPauses });
+}
+
 void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
 {
     const auto self = shared_from_this();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -57,6 +57,8 @@
     void onWaitedTooLong();
     void startAttempt(const ServerSelector::Choice &choice);
     HttpCallRequest makeCall(const KnownServer &server) const;
+    //! Time without a byte after which the attempt counts as broken.
+    Duration silenceLimit() const;
     void onHead(int status, const HttpHeaders &headers);
     void onBody(std::string_view data);
     void onEvents(const EventBatch &batch);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,8 +16,22 @@
 // Waiting requests look for a place when a load changes, and this often for what others report.
 constexpr Duration kWaitingInterval = std::chrono::milliseconds(10);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
-// Routers without a change report this often, so that others know that they live.
-constexpr Duration kIdleReportInterval = std::chrono::seconds(1);
+// Routers without a change report this often, so that others know that they live and what they know
+// of the store.
+constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
+// A zone of 28 routers with links of 10 Mbit/s spends about 1 % of them on reports.
+constexpr Duration kReportIntervalPerRouter = std::chrono::milliseconds(12);
+// Sums for other zones go to every router there, over dear links.
+constexpr Duration kZoneReportInterval = std::chrono::seconds(1);
+// Ticks come every 100 ms; a larger gap means that the process has not run.
+constexpr Duration kMaxTickGap = std::chrono::milliseconds(400);
+// Longest time that a report is taken to have been under way.
+constexpr Duration kReportTransit = std::chrono::milliseconds(150);
+// Three routers that hear each other need one poll interval between them.
+constexpr double kRoutersPerStoreCall = 3;
+constexpr double kMaxStoreCallStretch = 4;
+// Share of the bound for configurations after which a router asks, whatever it has heard.
+constexpr double kMaxKnowledgeAgeShare = 0.6;
 // Suspicions are repeated for this long, since datagrams may be lost.
 constexpr Duration kSuspicionRepeatTime = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxReportedChains = 64;
@@ -32,7 +46,7 @@
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 // A server that is gone shows by missing acknowledgements; repeats must begin within a second.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1000);
-constexpr std::chrono::seconds kProbeInterval { 2 };
+constexpr std::chrono::seconds kProbeInterval { 1 };
 constexpr Duration kStoreCallTimeout = std::chrono::milliseconds(700);
 // Descriptors kept for other things than callers.
 constexpr std::size_t kMaxCallers = 2500;
@@ -65,8 +79,9 @@
     : loop_(loop), settings_(std::move(settings)), formats_(formats), log_(loop, logDescriptor),
       random_(std::random_device {}()), backends_(loop, backendOptions()),
       storeClient_(loop, backendOptions()),
-      selector_(directory_, prefixes_, settings_.zone, random_()), peers_(directory_),
-      tickTimer_(loop, [this] { tick(); }), reportTimer_(loop, [this] { sendReport(false); }),
+      selector_(directory_, prefixes_, settings_.zone, random_()),
+      peers_(directory_, settings_.zone), tickTimer_(loop, [this] { tick(); }),
+      reportTimer_(loop, [this] { sendReport(false); }),
       waitingTimer_(loop,
                     [this] {
                         waiting_.startAll();
@@ -140,7 +155,7 @@
     options.callTimeout = kStoreCallTimeout;
     feed_ = std::make_unique<StoreFeed>(
         loop_, storeClient_, formats_, options,
-        [this](const StoreChange &change) { onStoreChange(change); },
+        [this](const StoreChange &change) { return onStoreChange(change); },
         [this](const std::string &fault) {
             log_.write(LogLine(fault.empty() ? "store_regained" : "store_lost")
                            .add("reason", fault)
@@ -158,46 +173,43 @@
     return {};
 }
 
-void Gateway::onStoreChange(const StoreChange &change)
+bool Gateway::onStoreChange(const StoreChange &change)
 {
-    if (formats_.isConfigurationKey(change.key)) {
-        if (change.value)
-            onConfiguration(*change.value);
-        return;
-    }
-    if (const auto server = formats_.serverNameOfKey(change.key)) {
-        onServer(*server, change);
-        return;
-    }
+    if (formats_.isConfigurationKey(change.key))
+        return change.value && onConfiguration(*change.value);
+    if (const auto server = formats_.serverNameOfKey(change.key))
+        return onServer(*server, change);
     if (!Registration::isRouterKey(change.key))
-        return;
+        return false;
     if (!change.value) {
         peers_.removeRouter(Registration::routerOfKey(change.key));
-        return;
+        return true;
     }
     const auto router = Registration::decode(change.key, *change.value);
     if (router && router->name != settings_.router)
         peers_.addRouter(*router);
+    return true;
 }
 
-void Gateway::onConfiguration(const std::string &text)
+bool Gateway::onConfiguration(const std::string &text)
 {
-    handleErrors(
-        [&]() -> Result<void> {
+    return handleErrors(
+        [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(configuration, formats_.decodeConfiguration(text));
             // Never back to an older one, whatever the store answers.
             if (table_ && configuration.version <= table_->version())
-                return {};
+                return false;
             table_ = std::make_shared<const RoutingTable>(std::move(configuration));
             applyLimits();
             log_.write(LogLine("configuration_adopted")
                            .add("version", table_->version().value())
                            .add("routes", table_->configuration().routes.size())
                            .text());
-            return {};
+            return true;
         },
         [&](const Error &error) {
             log_.write(LogLine("configuration_rejected").add("error", error.message).text());
+            return false;
         });
 }
 
@@ -215,56 +227,61 @@
     callers_->setLimits(applied);
 }
 
-void Gateway::onServer(const BackendServerName &name, const StoreChange &change)
+bool Gateway::onServer(const BackendServerName &name, const StoreChange &change)
 {
     if (!change.value) {
-        if (feed_ && feed_->isJustBack())
-            delayedRemovals_[name] = monotonicNow() + kReturnTime;
-        else
-            removeServer(name);
-        return;
+        if (!feed_->isJustBack())
+            return removeServer(name);
+        delayedRemovals_[name] = monotonicNow() + kReturnTime;
+        return true;
     }
-    handleErrors(
-        [&]() -> Result<void> {
+    return handleErrors(
+        [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(entry, formats_.decodeServer(name, *change.value));
             delayedRemovals_.erase(name);
-            const auto before = directory_.find(name);
-            const bool wasUsable = before && before->isUsable();
-            const auto startBefore = before ? before->entry.start : StartNumber();
-            if (!directory_.update(entry, monotonicNow()))
-                return {};
-            const auto after = directory_.find(name);
-            if (before && startBefore != entry.start)
-                prefixes_.forget(serverHash(name));
-            if (wasUsable != after->isUsable() || startBefore != entry.start) {
-                peers_.refresh(monotonicNow());
-                log_.write(LogLine("server_changed")
-                               .add("server", name.value())
-                               .add("address", entry.address.value())
-                               .add("usable", after->isUsable())
-                               .add("start", entry.start.value())
-                               .text());
-            }
-            return {};
+            return updateServer(entry);
         },
         [&](const Error &error) {
             log_.write(LogLine("server_entry_rejected")
                            .add("server", name.value())
                            .add("error", error.message)
                            .text());
-            removeServer(name);
+            return removeServer(name);
         });
 }
 
-void Gateway::removeServer(const BackendServerName &name)
+bool Gateway::updateServer(const ServerEntry &entry)
+{
+    const auto before = directory_.find(entry.name);
+    const bool wasUsable = before && before->isUsable();
+    const auto startBefore = before ? before->entry.start : StartNumber();
+    if (!directory_.update(entry, monotonicNow()))
+        return false;
+    const auto after = directory_.find(entry.name);
+    if (before && startBefore != entry.start)
+        prefixes_.forget(after->hash);
+    if (before && wasUsable == after->isUsable() && startBefore == entry.start)
+        return false;
+    peers_.refresh(monotonicNow());
+    log_.write(LogLine("server_changed")
+                   .add("server", entry.name.value())
+                   .add("address", entry.address.value())
+                   .add("usable", after->isUsable())
+                   .add("start", entry.start.value())
+                   .text());
+    return true;
+}
+
+bool Gateway::removeServer(const BackendServerName &name)
 {
     const auto server = directory_.find(name);
     if (!server)
-        return;
+        return false;
     backends_.closeIdle(server->entry.address);
-    prefixes_.forget(serverHash(name));
+    prefixes_.forget(server->hash);
     directory_.remove(name, monotonicNow());
     log_.write(LogLine("server_removed").add("server", name.value()).text());
+    return true;
 }
 
 void Gateway::onReport(std::string_view datagram)
@@ -278,6 +295,12 @@
             peers_.take(report, now);
             for (const auto &[server, chain] : report.chains)
                 prefixes_.note(server, chain, now);
+            for (const auto hash : report.broken) {
+                if (const auto server = directory_.find(hash))
+                    server->health.noteBrokenElsewhere(now);
+            }
+            if (report.store)
+                hearStore(*report.store);
             for (const auto &suspicion : report.suspicions)
                 crashes_.add(suspicion.fingerprint, suspicion.crash, now);
             return {};
@@ -287,27 +310,56 @@
         });
 }
 
+// A report that has waited in a queue, while this host was suspended or its process stopped, says
+// nothing about how fresh the router's knowledge is.
+void Gateway::hearStore(const StoreKnowledge &knowledge)
+{
+    const auto now = bootTime();
+    if (now - tickedAt_ > kMaxTickGap || now < ignoreStoreUntil_)
+        return;
+    feed_->hear(knowledge.revision, now - knowledge.age - kReportTransit);
+}
+
 void Gateway::scheduleReport()
 {
     if (!waiting_.empty() && !waitingTimer_.isActive())
         waitingTimer_.startOnce(Duration::zero());
     if (reportTimer_.isActive())
         return;
-    const auto due = reportedAt_ + settings_.reportInterval - monotonicNow();
+    const auto due = reportedAt_ + reportInterval() - monotonicNow();
     reportTimer_.startOnce(std::max<Duration>(due, Duration::zero()));
 }
 
-void Gateway::sendReport(bool isLeaving)
+// The datagrams of a zone grow with the square of its routers; links and processors are small.
+Duration Gateway::reportInterval() const
+{
+    const auto routers = static_cast<int>(peers_.nearRouters().size());
+    return std::max<Duration>(settings_.reportInterval, kReportIntervalPerRouter * routers);
+}
+
+LoadReport Gateway::makeReport()
 {
-    const auto now = monotonicNow();
-    reportedAt_ = now;
     LoadReport report;
     report.router = { settings_.router, reports_->address(), settings_.zone };
     report.sequence = ++reportSequence_;
+    if (feed_->lastContact())
+        report.store = StoreKnowledge { feed_->relevantRevision(),
+                                        std::chrono::ceil<Milliseconds>(configurationAge()) };
+    return report;
+}
+
+void Gateway::sendReport(bool isLeaving)
+{
+    const auto now = monotonicNow();
+    reportedAt_ = now;
+    reportedRevision_ = feed_->relevantRevision();
+    auto report = makeReport();
     report.isLeaving = isLeaving;
     directory_.forEach([&](const ServerDirectory::ServerPointer &server) {
         if (server->own.requests > 0)
-            report.loads.emplace_back(serverHash(server->entry.name), server->own);
+            report.loads.emplace_back(server->hash, server->own);
+        if (server->health.isJustBroken(now))
+            report.broken.push_back(server->hash);
     });
     report.chains = std::exchange(newChains_, {});
     while (!suspicions_.empty() && suspicions_.front().first + kSuspicionRepeatTime < now)
@@ -315,8 +367,43 @@
     for (const auto &[at, suspicion] : suspicions_)
         report.suspicions.push_back(suspicion);
     const auto datagram = encodeLoadReport(report);
-    for (const auto &router : peers_.routers())
+    for (const auto &router : peers_.nearRouters())
         reports_->send(router.address, datagram);
+    if (now - zoneReportedAt_ >= kZoneReportInterval)
+        sendZoneSum();
+}
+
+void Gateway::sendZoneSum()
+{
+    const auto now = monotonicNow();
+    zoneReportedAt_ = now;
+    if (peers_.isDirect() || !peers_.isRepresentative(settings_.router, now))
+        return;
+    auto report = makeReport();
+    report.scope = ReportScope::Zone;
+    auto sums = peers_.zoneLoads(now);
+    directory_.forEach([&](const ServerDirectory::ServerPointer &server) {
+        if (server->own.requests > 0)
+            sums[server->hash] += server->own;
+    });
+    report.loads.assign(sums.begin(), sums.end());
+    const auto datagram = encodeLoadReport(report);
+    for (const auto &router : peers_.farRouters())
+        reports_->send(router.address, datagram);
+}
+
+// Routers of one neighbourhood share what they read, so each asks less often; the times are drawn
+// anew, so that they do not all ask at the same moment.
+void Gateway::paceStoreCalls()
+{
+    const auto routers = static_cast<double>(peers_.currentNearCount(monotonicNow()) + 1);
+    const double share = std::clamp(routers / kRoutersPerStoreCall, 1.0, kMaxStoreCallStretch);
+    std::uniform_real_distribution<double> spread(0.6, 1.4);
+    const auto interval = share > 1 ? settings_.storePollInterval * share * spread(random_)
+                                    : settings_.storePollInterval * 1.0;
+    feed_->setPollInterval(std::chrono::duration_cast<Duration>(interval));
+    if (configurationAge() > settings_.configurationBound * kMaxKnowledgeAgeShare)
+        feed_->refresh();
 }
 
 void Gateway::noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash)
@@ -385,6 +472,11 @@
 void Gateway::tick()
 {
     const auto now = monotonicNow();
+    const auto boot = bootTime();
+    if (boot - tickedAt_ > kMaxTickGap)
+        ignoreStoreUntil_ = boot + kMaxTickGap;
+    tickedAt_ = boot;
+    paceStoreCalls();
     for (auto removal = delayedRemovals_.begin(); removal != delayedRemovals_.end();) {
         if (removal->second <= now) {
             removeServer(removal->first);
@@ -393,7 +485,8 @@
             ++removal;
         }
     }
-    if (now - reportedAt_ >= kIdleReportInterval)
+    // What has changed in the store must reach the others before they would ask themselves.
+    if (now - reportedAt_ >= kIdleReportInterval || feed_->relevantRevision() != reportedRevision_)
         sendReport(false);
     if (!waiting_.empty() && !waitingTimer_.isActive())
         waitingTimer_.startOnce(Duration::zero());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,12 +52,19 @@
             int logDescriptor);
 
     Result<void> listen();
-    void onStoreChange(const StoreChange &change);
-    void onConfiguration(const std::string &text);
-    void onServer(const BackendServerName &name, const StoreChange &change);
-    void removeServer(const BackendServerName &name);
+    // Each returns whether something has changed that others should read.
+    bool onStoreChange(const StoreChange &change);
+    bool onConfiguration(const std::string &text);
+    bool onServer(const BackendServerName &name, const StoreChange &change);
+    bool updateServer(const ServerEntry &entry);
+    bool removeServer(const BackendServerName &name);
     void onReport(std::string_view datagram);
+    void hearStore(const StoreKnowledge &knowledge);
     void scheduleReport();
+    Duration reportInterval() const;
+    void sendZoneSum();
+    LoadReport makeReport();
+    void paceStoreCalls();
     void sendReport(bool isLeaving);
     void noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash);
     Duration configurationAge() const;
@@ -97,6 +104,10 @@
     Timer waitingTimer_;
     Instant started_;
     Instant reportedAt_;
+    Instant zoneReportedAt_;
+    StoreRevision reportedRevision_ = 0;
+    Duration tickedAt_ {};         //!< Boot time of the last tick.
+    Duration ignoreStoreUntil_ {}; //!< Boot time; reports read before may have waited in a queue.
     Instant nextHousekeeping_;
     std::uint64_t reportSequence_ = 0;
     std::vector<std::pair<ServerHash, ChainHash>> newChains_;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -64,7 +64,7 @@
 std::vector<Entry> boundEntries()
 {
     return {
-        integerEntry<GatewaySettings>("store.poll_interval_ms", "ms", "600", 50, kMinuteMs,
+        integerEntry<GatewaySettings>("store.poll_interval_ms", "ms", "800", 50, kMinuteMs,
                                       "Time between two calls for changes.",
                                       kStore<&GatewaySettings::storePollInterval>),
         integerEntry<GatewaySettings>("bounds.revocation_ms", "ms", "5000", 100, kMinuteMs,
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace crocusport {
 
 namespace {
@@ -15,7 +17,12 @@
 // Sensitivities are sent in hundredths.
 constexpr double kSensitivityScale = 100;
 
-constexpr std::size_t kReportFields = 8;
+// Up to this many routers, each reports to all others.
+constexpr std::size_t kMaxDirectRouters = 16;
+
+constexpr std::size_t kReportFields = 10;
+constexpr unsigned kLeavingFlag = 1;
+constexpr unsigned kZoneFlag = 2;
 constexpr std::size_t kLoadFields = 5;
 constexpr std::size_t kPairFields = 2;
 
@@ -60,10 +67,15 @@
     auto suspicions = Json::array();
     for (const auto &suspicion : report.suspicions)
         suspicions.push_back({ suspicion.fingerprint.value(), suspicion.crash });
+    auto store = Json::array();
+    if (report.store)
+        store = Json::array({ report.store->revision, report.store->age.count() });
+    const auto flags = (report.isLeaving ? kLeavingFlag : 0U)
+        | (report.scope == ReportScope::Zone ? kZoneFlag : 0U);
     const Json message =
         Json::array({ report.router.name.value(), report.router.address.value(),
-                      report.router.zone.value(), report.sequence, report.isLeaving ? 1U : 0U,
-                      std::move(loads), std::move(chains), std::move(suspicions) });
+                      report.router.zone.value(), report.sequence, flags, std::move(loads),
+                      std::move(chains), std::move(suspicions), std::move(store), report.broken });
     const auto bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
@@ -72,14 +84,21 @@
 {
     const auto json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
     if (!isArrayOf(json, kReportFields) || !json[5].is_array() || !json[6].is_array()
-        || !json[7].is_array())
+        || !json[7].is_array() || !json[8].is_array() || !json[9].is_array())
         return makeError(ResultCode::MalformedMessage, "load report has another form");
     LoadReport report;
     report.router.name = RouterName(text(json[0]));
     report.router.address = SocketAddress(text(json[1]));
     report.router.zone = AvailabilityZone(text(json[2]));
     report.sequence = number(json[3]);
-    report.isLeaving = number(json[4]) != 0;
+    report.isLeaving = (number(json[4]) & kLeavingFlag) != 0;
+    report.scope = (number(json[4]) & kZoneFlag) != 0 ? ReportScope::Zone : ReportScope::Router;
+    if (isArrayOf(json[8], kPairFields))
+        report.store =
+            StoreKnowledge { static_cast<StoreRevision>(number(json[8][0])),
+                             Milliseconds(static_cast<std::int64_t>(number(json[8][1]))) };
+    for (const auto &server : json[9])
+        report.broken.push_back(static_cast<ServerHash>(number(server)));
     if (report.router.name.value().empty())
         return makeError(ResultCode::MalformedMessage, "load report names no router");
     for (const auto &row : json[5]) {
@@ -98,24 +117,50 @@
     return report;
 }
 
+bool PeerLoads::Loads::isCurrent(Instant now) const
+{
+    return heard && now - *heard <= kSilenceLimit;
+}
+
+void PeerLoads::replace(Loads &loads, const LoadReport &report, Instant now)
+{
+    // A lower number long after the last report is that of a router that has started again.
+    if (loads.heard && report.sequence <= loads.sequence && loads.isCurrent(now))
+        return;
+    for (const auto &[hash, load] : loads.loads) {
+        if (const auto server = directory_.find(hash))
+            server->others -= load;
+    }
+    loads.sequence = report.sequence;
+    loads.heard = now;
+    loads.loads.clear();
+    for (const auto &[server, load] : report.loads)
+        loads.loads[server] = load;
+    add(loads.loads);
+}
+
+void PeerLoads::add(const std::unordered_map<ServerHash, ServerLoad> &loads)
+{
+    for (const auto &[hash, load] : loads) {
+        if (const auto server = directory_.find(hash))
+            server->others += load;
+    }
+}
+
 void PeerLoads::take(const LoadReport &report, Instant now)
 {
+    if (report.scope == ReportScope::Zone) {
+        replace(zones_[report.router.zone], report, now);
+        return;
+    }
     if (report.isLeaving) {
         peers_.erase(report.router.name);
+        refresh(now);
         return;
     }
     auto &peer = peers_[report.router.name];
-    // A lower number long after the last report is that of a router that has started again.
-    const bool isRestarted = peer.heard && now - *peer.heard > kSilenceLimit;
-    if (peer.heard && report.sequence <= peer.sequence && !isRestarted)
-        return;
     peer.router = report.router;
-    peer.sequence = report.sequence;
-    peer.heard = now;
-    peer.loads.clear();
-    for (const auto &[server, load] : report.loads)
-        peer.loads[server] = load;
-    refresh(now);
+    replace(peer.own, report, now);
 }
 
 void PeerLoads::addRouter(const RouterEntry &router)
@@ -132,32 +177,84 @@
         found->second.isRegistered = false;
 }
 
+// Sums up anew, so that what a lost server or router leaves behind does not stay.
 void PeerLoads::refresh(Instant now)
 {
     std::erase_if(peers_, [&](const auto &item) {
         const auto &peer = item.second;
-        return !peer.isRegistered && (!peer.heard || now - *peer.heard > kForgetTime);
+        return !peer.isRegistered && (!peer.own.heard || now - *peer.own.heard > kForgetTime);
     });
-    std::unordered_map<ServerHash, ServerLoad> sums;
+    directory_.forEach(
+        [](const ServerDirectory::ServerPointer &server) { server->others = ServerLoad(); });
+    for (auto &[name, peer] : peers_) {
+        if (!peer.own.isCurrent(now))
+            peer.own.loads.clear();
+        add(peer.own.loads);
+    }
+    for (auto &[zone, loads] : zones_) {
+        if (!loads.isCurrent(now))
+            loads.loads.clear();
+        add(loads.loads);
+    }
+}
+
+bool PeerLoads::isDirect() const
+{
+    return peers_.size() < kMaxDirectRouters;
+}
+
+bool PeerLoads::isNear(const Peer &peer) const
+{
+    return isDirect() || peer.router.zone == zone_;
+}
+
+bool PeerLoads::isRepresentative(const RouterName &self, Instant now) const
+{
     for (const auto &[name, peer] : peers_) {
-        if (!peer.heard || now - *peer.heard > kSilenceLimit)
-            continue;
-        for (const auto &[server, load] : peer.loads)
-            sums[server] += load;
+        if (name < self && peer.router.zone == zone_ && peer.own.isCurrent(now))
+            return false;
     }
-    directory_.forEach([&](const ServerDirectory::ServerPointer &server) {
-        const auto sum = sums.find(serverHash(server->entry.name));
-        server->others = sum == sums.end() ? ServerLoad() : sum->second;
-    });
+    return true;
+}
+
+std::size_t PeerLoads::currentNearCount(Instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto &item) {
+            return isNear(item.second) && item.second.own.isCurrent(now);
+        }));
+}
+
+std::vector<RouterEntry> PeerLoads::nearRouters() const
+{
+    std::vector<RouterEntry> routers;
+    for (const auto &[name, peer] : peers_) {
+        if (isNear(peer))
+            routers.push_back(peer.router);
+    }
+    return routers;
 }
 
-std::vector<RouterEntry> PeerLoads::routers() const
+std::vector<RouterEntry> PeerLoads::farRouters() const
 {
     std::vector<RouterEntry> routers;
-    routers.reserve(peers_.size());
-    for (const auto &[name, peer] : peers_)
-        routers.push_back(peer.router);
+    for (const auto &[name, peer] : peers_) {
+        if (!isNear(peer))
+            routers.push_back(peer.router);
+    }
     return routers;
 }
 
+std::unordered_map<ServerHash, ServerLoad> PeerLoads::zoneLoads(Instant now) const
+{
+    std::unordered_map<ServerHash, ServerLoad> sums;
+    for (const auto &[name, peer] : peers_) {
+        if (peer.router.zone != zone_ || !peer.own.isCurrent(now))
+            continue;
+        for (const auto &[server, load] : peer.own.loads)
+            sums[server] += load;
+    }
+    return sums;
+}
+
 } // namespace crocusport
--- a/src/gateway/prefixmemory.cpp
+++ b/src/gateway/prefixmemory.cpp
@@ -11,11 +11,6 @@
 
 } // namespace
 
-ServerHash serverHash(const BackendServerName &name)
-{
-    return XXH32(name.value().data(), name.value().size(), 0);
-}
-
 std::vector<ChainHash> chainHashes(const std::vector<PromptPart> &parts)
 {
     std::vector<ChainHash> hashes;
--- a/src/gateway/prefixmemory.h
+++ b/src/gateway/prefixmemory.h
@@ -1,6 +1,8 @@
 #ifndef CROCUSPORT_PREFIXMEMORY_H
 #define CROCUSPORT_PREFIXMEMORY_H
 
+#include "serverdirectory.h"
+
 #include "crocusport/gateway/wiremessages.h"
 
 #include <cstdint>
@@ -9,11 +11,9 @@
 
 namespace crocusport {
 
-//! Hash of a backend server's name and of a chain of prompt parts, as routers tell each other.
-using ServerHash = std::uint32_t;
+//! Hash of a chain of prompt parts, as routers tell each other.
 using ChainHash = std::uint32_t;
 
-ServerHash serverHash(const BackendServerName &name);
 //! Returns the hash of each leading chain of \a parts, shortest first.
 std::vector<ChainHash> chainHashes(const std::vector<PromptPart> &parts);
 
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -1,6 +1,9 @@
 #include "serverdirectory.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <limits>
 
 namespace crocusport {
 
@@ -14,11 +17,20 @@
 constexpr int kMaxDoublings = 3;
 // A server that refuses is full; its queue is shorter after about this time.
 constexpr Duration kRefusalAvoidance = std::chrono::milliseconds(100);
+// Others are told of a broken connection for this long; datagrams may be lost.
+constexpr Duration kBrokenReportTime = std::chrono::milliseconds(600);
+// Their word counts less than what this router sees itself.
+constexpr Duration kReportedAvoidance = std::chrono::milliseconds(700);
 // Entries of a removed server may arrive late for about this long.
 constexpr Duration kRemovedMemory = std::chrono::seconds(30);
 
 } // namespace
 
+ServerHash serverHash(const BackendServerName &name)
+{
+    return XXH32(name.value().data(), name.value().size(), 0);
+}
+
 ServerLoad &ServerLoad::operator+=(const ServerLoad &other)
 {
     requests += other.requests;
@@ -54,6 +66,17 @@
     const auto doublings = std::min(brokenInRow_++, kMaxDoublings);
     const auto avoidance = std::min(kMinAvoidance * (1 << doublings), kMaxAvoidance);
     avoidedUntil_ = std::max(avoidedUntil_, now + avoidance);
+    brokenAt_ = now;
+}
+
+void ServerHealth::noteBrokenElsewhere(Instant now)
+{
+    avoidedUntil_ = std::max(avoidedUntil_, now + kReportedAvoidance);
+}
+
+bool ServerHealth::isJustBroken(Instant now) const
+{
+    return brokenAt_ != Instant() && now - brokenAt_ < kBrokenReportTime;
 }
 
 ServerLoad KnownServer::load() const
@@ -83,6 +106,10 @@
     }
     if (!server) {
         server = std::make_shared<KnownServer>();
+        server->hash = serverHash(entry.name);
+        server->rank = static_cast<double>(server->hash)
+            / static_cast<double>(std::numeric_limits<ServerHash>::max());
+        hashes_[server->hash] = server;
         pools_[entry.pool].push_back(server);
     }
     server->entry = entry;
@@ -98,6 +125,7 @@
     found->second->isGone = true;
     removed_[name] = { found->second->entry, now };
     unlink(found->second);
+    hashes_.erase(found->second->hash);
     servers_.erase(found);
 }
 
@@ -125,13 +153,10 @@
     return found == servers_.end() ? nullptr : found->second;
 }
 
-std::vector<BackendServerName> ServerDirectory::names() const
+ServerDirectory::ServerPointer ServerDirectory::find(ServerHash hash) const
 {
-    std::vector<BackendServerName> names;
-    names.reserve(servers_.size());
-    for (const auto &[name, server] : servers_)
-        names.push_back(name);
-    return names;
+    const auto found = hashes_.find(hash);
+    return found == hashes_.end() ? nullptr : found->second;
 }
 
 } // namespace crocusport
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -11,6 +11,10 @@
 
 namespace crocusport {
 
+//! Hash of a backend server's name, as routers tell each other.
+using ServerHash = std::uint32_t;
+ServerHash serverHash(const BackendServerName &name);
+
 //! What requests use of a backend server, counted from when they are sent.
 struct ServerLoad
 {
@@ -33,6 +37,10 @@
     void noteRefusal(Instant now);
     //! A connection could not be made, or broke without an answer.
     void noteBrokenConnection(Instant now);
+    //! Another router says that its connection broke.
+    void noteBrokenElsewhere(Instant now);
+    //! Whether a connection of this router broke a moment ago.
+    bool isJustBroken(Instant now) const;
 
     //! Whether requests go elsewhere while others can take them.
     bool isAvoided(Instant now) const { return now < avoidedUntil_; }
@@ -41,6 +49,7 @@
 
 private:
     Instant avoidedUntil_ {};
+    Instant brokenAt_ {};
     int brokenInRow_ = 0;
     double failureShare_ = 0;
 };
@@ -49,6 +58,8 @@
 struct KnownServer
 {
     ServerEntry entry;
+    ServerHash hash = 0;
+    double rank = 0;   //!< From 0 to 1, by its name; the same for all routers.
     ServerLoad own;    //!< Of this router's requests.
     ServerLoad others; //!< Of the other routers' requests, as they said last.
     ServerHealth health;
@@ -78,7 +89,7 @@
 
     const std::vector<ServerPointer> &pool(const PoolName &name) const;
     ServerPointer find(const BackendServerName &name) const;
-    std::vector<BackendServerName> names() const;
+    ServerPointer find(ServerHash hash) const;
     std::size_t size() const { return servers_.size(); }
     template<typename Function>
     void forEach(Function &&function) const
@@ -97,6 +108,7 @@
     void unlink(const ServerPointer &server);
 
     std::unordered_map<BackendServerName, ServerPointer> servers_;
+    std::unordered_map<ServerHash, ServerPointer> hashes_;
     std::unordered_map<PoolName, std::vector<ServerPointer>> pools_;
     std::unordered_map<BackendServerName, Removed> removed_;
 };
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -32,8 +32,13 @@
 // Reading again what another server holds costs engine time that all requests share, and the
 // memory for a second copy.
 constexpr double kMsPerRereadToken = 0.1;
-// A chain that no server holds is read where all routers expect it, unless loads differ by this.
+// A chain that is not known to be held is read where all routers expect it, unless loads differ by
+// this: another router, which this one does not hear, may have had it read there.
 constexpr double kHomeMs = 25;
+constexpr double kHomeMsPerSharedToken = 0.05;
+// All routers prefer servers of low rank for long prompts, and those of high rank for sensitive
+// streams, by up to this much; so the two part also where loads are heard late.
+constexpr double kRankMs = 30;
 // Expected cost of an attempt that fails.
 constexpr double kFailureMs = 300;
 // Service time of one request of a plain service, until better is known.
@@ -96,7 +101,7 @@
     : directory_(directory), prefixes_(prefixes), zone_(std::move(zone)), random_(seed)
 { }
 
-double ServerSelector::generationCost(const KnownServer & /*server*/, const WorkProfile &profile,
+double ServerSelector::generationCost(const KnownServer &server, const WorkProfile &profile,
                                       const ServerLoad &load, std::uint32_t cachedTokens) const
 {
     const double unread =
@@ -106,6 +111,8 @@
     if (unread > kLongPromptTokens)
         cost += kDisturbanceMs * load.sensitivity * std::min(unread, kMaxDisturbingTokens)
             / kMaxDisturbingTokens * 2;
+    cost += unread > kLongPromptTokens ? kRankMs * server.rank
+                                       : profile.sensitivity * kRankMs * (1 - server.rank);
     cost += profile.sensitivity * kSensitivePrefillFactor * std::min(pending, kMaxDisturbingTokens)
         / kPrefillTokensPerMs;
     return cost;
@@ -150,8 +157,7 @@
         }
         const auto cached = profile.parts.empty()
             ? 0
-            : prefixes_.cachedTokens(serverHash(server->entry.name), profile.parts, profile.chains,
-                                     now);
+            : prefixes_.cachedTokens(server->hash, profile.parts, profile.chains, now);
         found.push_back({ server, cached });
     }
     return found;
@@ -190,7 +196,7 @@
         double serverCost = cost(*server, entry, profile, cached, now) + noise(random_);
         serverCost += kMsPerRereadToken * (mostCached - cached);
         if (isNewChain && server->entry.name != home)
-            serverCost += kHomeMs;
+            serverCost += kHomeMs + kHomeMsPerSharedToken * sharedTokens(profile);
         if (std::pair(isAvoided, serverCost) < std::pair(isBestAvoided, bestCost)) {
             best = { server, profile.loadWith(cached) };
             bestCost = serverCost;
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -154,7 +154,28 @@
         known_.erase(known);
     else
         return;
-    onChange_(change);
+    if (onChange_(change))
+        relevantRevision_ = std::max(relevantRevision_, change.revision);
+}
+
+// What came after the revision up to that time was no more than signs of life. So a router that has
+// read beyond the revision knows the state at that time.
+void StoreFeed::hear(StoreRevision revision, Duration at)
+{
+    if (!isSynchronized_ || step_ == Step::Listing)
+        return;
+    if (revision <= revision_) {
+        lastContact_ = std::max(lastContact_.value_or(at), at);
+        return;
+    }
+    refresh();
+}
+
+void StoreFeed::refresh()
+{
+    const bool isCalling = call_ && !call_->isEnded();
+    if (!isCalling && !isFailing_)
+        timer_.startOnce(Duration::zero());
 }
 
 void StoreFeed::fail(const std::string &reason)
--- a/src/gateway/storefeed.h
+++ b/src/gateway/storefeed.h
@@ -32,7 +32,8 @@
         Duration pollInterval {}; //!< Between two calls that succeed.
         Duration callTimeout {};
     };
-    using ChangeHandler = std::function<void(const StoreChange &change)>;
+    //! Returns whether the change is more than a sign of life.
+    using ChangeHandler = std::function<bool(const StoreChange &change)>;
     //! Called when calls begin to fail, with the reason, and when they succeed again, without.
     using ReachHandler = std::function<void(const std::string &fault)>;
 
@@ -46,6 +47,17 @@
     bool isSynchronized() const { return isSynchronized_; }
     //! Boot time at which the last successful call was sent; what is known is no older.
     std::optional<Duration> lastContact() const { return lastContact_; }
+    //! Revision of the last change that was more than a sign of life.
+    StoreRevision relevantRevision() const { return relevantRevision_; }
+    /*!
+        Another router was sure at this host's boot time \a at that nothing relevant came after
+        \a revision. If this one has read that far, it is as sure; else it asks at once.
+    */
+    void hear(StoreRevision revision, Duration at);
+    //! Asks at once, unless a call is under way or has just failed.
+    void refresh();
+    //! Replaces the pause between two calls that succeed.
+    void setPollInterval(Duration interval) { options_.pollInterval = interval; }
     //! Whether the store answers again since a moment ago, after it had not.
     bool isJustBack() const;
     std::uint64_t startedCalls() const { return startedCalls_; }
@@ -78,6 +90,7 @@
     std::unordered_map<std::string, StoreRevision> listed_;
     std::unordered_map<std::string, StoreRevision> known_;
     StoreRevision revision_ = 0;
+    StoreRevision relevantRevision_ = 0;
     std::optional<Duration> lastContact_;
     std::optional<Duration> backSince_;
     Duration failingSince_ {};
