ServerSelector: Keep long prompts and sensitive streams on different servers

Change: 0.6 of a pool's servers, in the order of their hashes, are for long prompts: their homes lie there, and others cost 40 ms more; sensitive streams cost as much more there.

Excluded: a bias that grows with the position, which left homes everywhere.

--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace crocusport {
 
@@ -107,10 +106,13 @@
     if (!server) {
         server = std::make_shared<KnownServer>();
         server->hash = serverHash(entry.name);
-        server->rank = static_cast<double>(server->hash)
-            / static_cast<double>(std::numeric_limits<ServerHash>::max());
         hashes_[server->hash] = server;
-        pools_[entry.pool].push_back(server);
+        auto &pool = pools_[entry.pool];
+        pool.insert(std::upper_bound(pool.begin(), pool.end(), server,
+                                     [](const auto &left, const auto &right) {
+                                         return left->hash < right->hash;
+                                     }),
+                    server);
     }
     server->entry = entry;
     server->coldUntil = now + entry.coldRemaining;
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -59,7 +59,6 @@
 {
     ServerEntry entry;
     ServerHash hash = 0;
-    double rank = 0;   //!< From 0 to 1, by its name; the same for all routers.
     ServerLoad own;    //!< Of this router's requests.
     ServerLoad others; //!< Of the other routers' requests, as they said last.
     ServerHealth health;
@@ -87,6 +86,7 @@
     //! Forgets removed servers whose late entries need not be recognised any more.
     void expire(Instant now);
 
+    //! Returns the servers of a pool in the order of their hashes.
     const std::vector<ServerPointer> &pool(const PoolName &name) const;
     ServerPointer find(const BackendServerName &name) const;
     ServerPointer find(ServerHash hash) const;
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -36,9 +36,11 @@
 // this: another router, which this one does not hear, may have had it read there.
 constexpr double kHomeMs = 25;
 constexpr double kHomeMsPerSharedToken = 0.05;
-// All routers prefer servers of low rank for long prompts, and those of high rank for sensitive
-// streams, by up to this much; so the two part also where loads are heard late.
-constexpr double kRankMs = 30;
+// All routers keep long prompts on the same part of a pool, and sensitive streams on the rest,
+// unless loads differ by this; so the two part also where loads are heard late.
+constexpr double kSeparationMs = 40;
+// Share of a pool's servers for long prompts.
+constexpr double kLongPromptShare = 0.6;
 // Expected cost of an attempt that fails.
 constexpr double kFailureMs = 300;
 // Service time of one request of a plain service, until better is known.
@@ -101,8 +103,8 @@
     : directory_(directory), prefixes_(prefixes), zone_(std::move(zone)), random_(seed)
 { }
 
-double ServerSelector::generationCost(const KnownServer &server, const WorkProfile &profile,
-                                      const ServerLoad &load, std::uint32_t cachedTokens) const
+double ServerSelector::generationCost(const WorkProfile &profile, const ServerLoad &load,
+                                      std::uint32_t cachedTokens) const
 {
     const double unread =
         profile.promptTokens - std::min<double>(profile.promptTokens, cachedTokens);
@@ -111,8 +113,6 @@
     if (unread > kLongPromptTokens)
         cost += kDisturbanceMs * load.sensitivity * std::min(unread, kMaxDisturbingTokens)
             / kMaxDisturbingTokens * 2;
-    cost += unread > kLongPromptTokens ? kRankMs * server.rank
-                                       : profile.sensitivity * kRankMs * (1 - server.rank);
     cost += profile.sensitivity * kSensitivePrefillFactor * std::min(pending, kMaxDisturbingTokens)
         / kPrefillTokensPerMs;
     return cost;
@@ -124,7 +124,7 @@
 {
     const auto load = server.load();
     double cost = entry && entry->engine
-        ? generationCost(server, profile, load, cachedTokens)
+        ? generationCost(profile, load, cachedTokens)
         : kServiceMs * load.requests / std::max(1U, server.entry.slots);
     if (server.entry.zone != zone_) {
         const double bytes =
@@ -142,7 +142,9 @@
                            const std::vector<BackendServerName> &excluded, Instant now) const
 {
     std::vector<Candidate> found;
+    std::size_t position = 0;
     for (const auto &server : directory_.pool(pool)) {
+        const auto serverPosition = position++;
         if (!server->isUsable()
             || std::find(excluded.begin(), excluded.end(), server->entry.name) != excluded.end())
             continue;
@@ -158,7 +160,7 @@
         const auto cached = profile.parts.empty()
             ? 0
             : prefixes_.cachedTokens(server->hash, profile.parts, profile.chains, now);
-        found.push_back({ server, cached });
+        found.push_back({ server, cached, serverPosition });
     }
     return found;
 }
@@ -173,6 +175,9 @@
     std::uint32_t mostCached = 0;
     for (const auto &candidate : servers)
         mostCached = std::max(mostCached, candidate.cachedTokens);
+    const auto longPromptServers = static_cast<std::size_t>(
+        kLongPromptShare * static_cast<double>(directory_.pool(pool).size()) + 0.5);
+    const bool isLong = profile.promptTokens > kLongPromptTokens;
     const auto homeChain = sharedChain(profile);
     const bool isNewChain = homeChain && mostCached < sharedTokens(profile);
     std::uint64_t homeScore = 0;
@@ -180,6 +185,8 @@
     for (const auto &candidate : servers) {
         if (!isNewChain)
             break;
+        if (isLong && candidate.position >= longPromptServers)
+            continue;
         const auto &name = candidate.server->entry.name;
         const auto score = rendezvousScore(name, *homeChain);
         if (score >= homeScore) {
@@ -191,10 +198,15 @@
     Choice best;
     double bestCost = std::numeric_limits<double>::infinity();
     bool isBestAvoided = true;
-    for (const auto &[server, cached] : servers) {
+    for (const auto &[server, cached, position] : servers) {
         const bool isAvoided = server->health.isAvoided(now);
         double serverCost = cost(*server, entry, profile, cached, now) + noise(random_);
         serverCost += kMsPerRereadToken * (mostCached - cached);
+        const bool isForLong = position < longPromptServers;
+        if (isLong && !isForLong)
+            serverCost += kSeparationMs;
+        if (!isLong && isForLong)
+            serverCost += kSeparationMs * profile.sensitivity;
         if (isNewChain && server->entry.name != home)
             serverCost += kHomeMs + kHomeMsPerSharedToken * sharedTokens(profile);
         if (std::pair(isAvoided, serverCost) < std::pair(isBestAvoided, bestCost)) {
--- a/src/gateway/serverselector.h
+++ b/src/gateway/serverselector.h
@@ -66,6 +66,7 @@
     {
         ServerDirectory::ServerPointer server;
         std::uint32_t cachedTokens = 0;
+        std::size_t position = 0; //!< In the order of hashes, which all routers share.
     };
 
     std::vector<Candidate> candidates(const PoolName &pool, const PoolEntry *entry,
@@ -74,8 +75,8 @@
                                       Instant now) const;
     double cost(const KnownServer &server, const PoolEntry *entry, const WorkProfile &profile,
                 std::uint32_t cachedTokens, Instant now) const;
-    double generationCost(const KnownServer &server, const WorkProfile &profile,
-                          const ServerLoad &load, std::uint32_t cachedTokens) const;
+    double generationCost(const WorkProfile &profile, const ServerLoad &load,
+                          std::uint32_t cachedTokens) const;
 
     const ServerDirectory &directory_;
     const PrefixMemory &prefixes_;
