--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -38,9 +38,9 @@
 constexpr double kHomeMsPerSharedToken = 0.05;
 // All routers keep long prompts on the same part of a pool, and sensitive streams on the rest,
 // unless loads differ by this; so the two part also where loads are heard late.
-constexpr double kSeparationMs = 40;
+constexpr double kSeparationMs = 80;
 // Share of a pool's servers for long prompts.
-constexpr double kLongPromptShare = 0.6;
+constexpr double kLongPromptShare = 0.65;
 // Expected cost of an attempt that fails.
 constexpr double kFailureMs = 300;
 // Service time of one request of a plain service, until better is known.
