RoutingTable: Rank requests by the team's priority first, then the route's

Nearly all teams have the priority 1, and it replaced the route's, so chat and reports had the same urgency.

--- a/include/crocusport/gateway/routingtable.h
+++ b/include/crocusport/gateway/routingtable.h
@@ -67,7 +67,7 @@
 {
     TeamName name;
     std::vector<std::string> keys;
-    std::optional<int> priority; //!< Takes precedence over the route's.
+    std::optional<int> priority; //!< 0 is the highest; counts before the route's.
 };
 
 //! Bounds on what a caller may send, and on how long it may take.
@@ -108,6 +108,14 @@
     const PoolEntry *findPool(const PoolName &pool) const;
     //! Returns the team that holds \a key, or nullptr.
     const TeamEntry *findTeam(const std::string &key) const;
+    /*!
+        Returns the rank of a request among all that the configuration tells apart, 0 for the most
+        urgent: by the priority of its team first, then by that of its route. Teams without a
+        priority, and callers without a team (nullptr), come last.
+    */
+    int urgency(const Route &route, const TeamEntry *team) const;
+    //! Returns the rank of the route's priority among those of all routes, 0 for the highest.
+    int tier(const Route &route) const;
 
 private:
     RoutingConfiguration configuration_;
@@ -115,6 +123,8 @@
     std::unordered_map<std::string, std::vector<const Route *>> routes_;
     std::unordered_map<PoolName, const PoolEntry *> pools_;
     std::unordered_map<std::string, const TeamEntry *> teams_;
+    std::vector<int> teamPriorities_;  //!< Distinct, in order.
+    std::vector<int> routePriorities_; //!< Distinct, in order.
 };
 
 } // namespace crocusport
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -132,7 +132,7 @@
 
 bool ForwardedRequest::findTeam()
 {
-    priority_ = route_.priority;
+    urgency_ = table_->urgency(route_, nullptr);
     if (!table_->hasTeams())
         return true;
     const auto age = services_.configurationAge();
@@ -152,7 +152,7 @@
         return false;
     }
     team_ = team->name;
-    priority_ = team->priority.value_or(route_.priority);
+    urgency_ = table_->urgency(route_, team);
     return true;
 }
 
@@ -227,7 +227,7 @@
 {
     const auto latestStart = exchange_->arrival() + route_.target;
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    ticket_ = services_.waiting.add(pool_, priority_, latestStart, [weak] {
+    ticket_ = services_.waiting.add(pool_, urgency_, latestStart, [weak] {
         const auto self = weak.lock();
         if (!self || self->isEnded_ || !self->ticket_)
             return true;
@@ -288,7 +288,7 @@
     head.server = server.entry.name;
     head.team = team_;
     head.remaining = remaining;
-    head.urgency = std::clamp(priority_, 0, kMaxUrgency);
+    head.urgency = std::clamp(urgency_, 0, kMaxUrgency);
     head.lastEventId = lastEventId_;
     HttpCallRequest call;
     call.address = server.entry.address;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -83,7 +83,7 @@
     std::shared_ptr<const RoutingTable> table_; //!< In force when the request was placed last.
     Route route_;
     TeamName team_;
-    int priority_ = 0;
+    int urgency_ = 0; //!< Among all requests; 0 is the first.
     PoolName pool_;
     WorkProfile work_;
     Fingerprint fingerprint_;
--- a/src/gateway/routingtable.cpp
+++ b/src/gateway/routingtable.cpp
@@ -16,6 +16,17 @@
     return normalized;
 }
 
+void sortDistinct(std::vector<int> &values)
+{
+    std::sort(values.begin(), values.end());
+    values.erase(std::unique(values.begin(), values.end()), values.end());
+}
+
+int rankIn(const std::vector<int> &values, int value)
+{
+    return static_cast<int>(std::lower_bound(values.begin(), values.end(), value) - values.begin());
+}
+
 } // namespace
 
 RoutingTable::RoutingTable(RoutingConfiguration configuration)
@@ -33,7 +44,27 @@
     for (const auto &team : configuration_.teams) {
         for (const auto &key : team.keys)
             teams_.emplace(key, &team);
+        if (team.priority)
+            teamPriorities_.push_back(*team.priority);
     }
+    for (const auto &route : configuration_.routes)
+        routePriorities_.push_back(route.priority);
+    sortDistinct(teamPriorities_);
+    sortDistinct(routePriorities_);
+}
+
+int RoutingTable::tier(const Route &route) const
+{
+    return rankIn(routePriorities_, route.priority);
+}
+
+int RoutingTable::urgency(const Route &route, const TeamEntry *team) const
+{
+    const auto tiers = static_cast<int>(routePriorities_.size());
+    const bool isLast = !team || !team->priority;
+    const auto teamRank = isLast ? std::max(0, static_cast<int>(teamPriorities_.size()) - 1)
+                                 : rankIn(teamPriorities_, *team->priority);
+    return teamRank * tiers + tier(route);
 }
 
 const Route *RoutingTable::findRoute(std::string_view host, std::string_view path) const
--- /dev/null
+++ b/tests/gateway/testroutingtable.cpp
@@ -0,0 +1,67 @@
+#include "crocusport/gateway/routingtable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+
+namespace {
+
+Route route(const std::string &host, const std::string &prefix, int priority = 0)
+{
+    Route made;
+    made.name = host + prefix;
+    made.host = host;
+    made.pathPrefix = prefix;
+    made.priority = priority;
+    return made;
+}
+
+} // namespace
+
+SCENARIO("A request selects a route")
+{
+    RoutingConfiguration configuration;
+    configuration.routes = { route("a.example", "/x/"), route("a.example", "/x/y/"),
+                             route("b.example", "/") };
+    const RoutingTable table(std::move(configuration));
+
+    THEN("the longest prefix of its host counts")
+    {
+        REQUIRE(table.findRoute("a.example", "/x/1")->pathPrefix == "/x/");
+        REQUIRE(table.findRoute("a.example", "/x/y/1")->pathPrefix == "/x/y/");
+        REQUIRE(table.findRoute("A.Example:80", "/x/y")->pathPrefix == "/x/");
+        REQUIRE(table.findRoute("b.example", "/x/")->pathPrefix == "/");
+        REQUIRE_FALSE(table.findRoute("a.example", "/"));
+        REQUIRE_FALSE(table.findRoute("c.example", "/x/"));
+    }
+}
+
+SCENARIO("Which of two requests is more urgent")
+{
+    RoutingConfiguration configuration;
+    configuration.routes = { route("a", "/chat/", 0), route("a", "/tag/", 10),
+                             route("a", "/report/", 20) };
+    configuration.teams = { { TeamName("first"), { "k1" }, 0 },
+                            { TeamName("second"), { "k2" }, 5 },
+                            { TeamName("plain"), { "k3" }, std::nullopt } };
+    const RoutingTable table(std::move(configuration));
+    const auto urgency = [&](const char *path, const char *key) {
+        return table.urgency(*table.findRoute("a", path), table.findTeam(key));
+    };
+
+    THEN("the team counts first, then the route")
+    {
+        REQUIRE(urgency("/chat/", "k1") == 0);
+        REQUIRE(urgency("/report/", "k1") < urgency("/chat/", "k2"));
+        // Guards against chat that an engine preempts for reports, since the teams' priorities
+        // alone make both equal.
+        REQUIRE(urgency("/chat/", "k2") < urgency("/tag/", "k2"));
+        REQUIRE(urgency("/tag/", "k2") < urgency("/report/", "k2"));
+    }
+    THEN("teams without a priority come last, but keep the order of routes")
+    {
+        REQUIRE(urgency("/chat/", "k3") >= urgency("/chat/", "k2"));
+        REQUIRE(urgency("/chat/", "k3") < urgency("/report/", "k3"));
+        REQUIRE(urgency("/chat/", "none") == urgency("/chat/", "k3"));
+    }
+}
