ServerSelector: Let short queues form at the server that holds the prompt

Change: a server may have 1.5 requests for each slot; those beyond the slots cost the expected wait, learned from the mean run at the server.

Excluded: a wait at the router for that server; servers admit by urgency over all routers.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -262,6 +262,8 @@
     table_ = services_.table();
     server_ = choice.server;
     load_ = choice.added;
+    cachedTokens_ = choice.cachedTokens;
+    mostCachedTokens_ = choice.mostCachedTokens;
     server_->own += load_;
     services_.loadChanged();
     const auto hash = server_->hash;
@@ -405,6 +407,7 @@
     mayHaveRun_ = true;
     const bool isFailure = answer_->status >= kServerError;
     server_->health.noteAnswer(isFailure, now);
+    server_->noteRun(now - placedAt_);
     releaseServer();
     if (isFailure && route_.isIdempotent() && mayRepeat(AttemptFault::Failed)) {
         logAttempt("attempt_failed", ResultCode::BackendServerError);
@@ -572,6 +575,9 @@
         .add("unsent", unsentAttempts_)
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("events", events_)
+        .add("prompt", work_.promptTokens)
+        .add("cached", cachedTokens_)
+        .add("most_cached", mostCachedTokens_)
         .add("wait_ms", sentAttempts_ > 0 ? (placedAt_ - exchange_->arrival()).count() / 1000 : -1)
         .add("first_ms", firstEventAt_ ? measurement.firstToken->count() / 1000 : -1)
         .add("total_ms", measurement.answer.count() / 1000)
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -94,6 +94,8 @@
 
     std::shared_ptr<KnownServer> server_; //!< Of the attempt in progress.
     ServerLoad load_;                     //!< That the attempt adds to its server.
+    std::uint32_t cachedTokens_ = 0;      //!< That the last server was expected to hold.
+    std::uint32_t mostCachedTokens_ = 0;  //!< That any server was expected to hold then.
     std::unique_ptr<HttpCall> call_;
     std::optional<AnswerHead> answer_;
     std::string body_;
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -10,6 +10,8 @@
 
 // Weight of the newest answer in the share of failures: about the last ten count.
 constexpr double kFailureWeight = 0.1;
+// Weight of the newest run in the mean time of runs.
+constexpr double kRunWeight = 0.1;
 // Time for which a server is avoided after a broken connection; doubles up to the maximum.
 constexpr Duration kMinAvoidance = std::chrono::milliseconds(250);
 constexpr Duration kMaxAvoidance = std::chrono::seconds(2);
@@ -85,6 +87,11 @@
     return sum;
 }
 
+void KnownServer::noteRun(Duration time)
+{
+    meanRunMs += kRunWeight * (toSeconds(time) * 1000 - meanRunMs);
+}
+
 bool ServerDirectory::update(const ServerEntry &entry, Instant now)
 {
     if (const auto removed = removed_.find(entry.name); removed != removed_.end()) {
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -63,10 +63,15 @@
     ServerLoad others; //!< Of the other routers' requests, as they said last.
     ServerHealth health;
     Instant coldUntil {};
-    bool isGone = false; //!< Its entry was removed; requests may still run there.
+    double meanRunMs = kUsualRunMs; //!< Of this router's requests, from sending to the end.
+    bool isGone = false;            //!< Its entry was removed; requests may still run there.
 
     bool isUsable() const { return !isGone && entry.state == BackendServerState::Live; }
     ServerLoad load() const;
+    //! A request has run to its end in \a time.
+    void noteRun(Duration time);
+
+    static constexpr double kUsualRunMs = 500; //!< Until some have ended.
 };
 
 /*!
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -43,6 +43,9 @@
 constexpr double kLongPromptShare = 0.65;
 // Expected cost of an attempt that fails.
 constexpr double kFailureMs = 300;
+// Requests that a server may have for each of its slots. A server admits what waits there by
+// urgency over all routers, so a short queue at the right server is better than many at routers.
+constexpr double kOverbooking = 1.5;
 // Service time of one request of a plain service, until better is known.
 constexpr double kServiceMs = 20;
 // A server that has just started is slower.
@@ -134,6 +137,9 @@
     if (now < server.coldUntil)
         cost += kColdMs;
     cost += kFailureMs * server.health.failureShare();
+    // Requests beyond the slots wait at the server until others have ended.
+    if (load.requests >= server.entry.slots)
+        cost += server.meanRunMs / server.entry.slots * (load.requests + 1 - server.entry.slots);
     return cost;
 }
 
@@ -149,7 +155,7 @@
             || std::find(excluded.begin(), excluded.end(), server->entry.name) != excluded.end())
             continue;
         const auto load = server->load();
-        if (load.requests >= server->entry.slots)
+        if (load.requests >= kOverbooking * server->entry.slots)
             continue;
         if (entry && entry->engine && entry->engine->memoryTokens > 0 && load.requests > 0) {
             const auto planned = static_cast<double>(load.memoryTokens + profile.promptTokens
@@ -210,7 +216,7 @@
         if (isNewChain && server->entry.name != home)
             serverCost += kHomeMs + kHomeMsPerSharedToken * sharedTokens(profile);
         if (std::pair(isAvoided, serverCost) < std::pair(isBestAvoided, bestCost)) {
-            best = { server, profile.loadWith(cached) };
+            best = { server, profile.loadWith(cached), cached, mostCached };
             bestCost = serverCost;
             isBestAvoided = isAvoided;
         }
--- a/src/gateway/serverselector.h
+++ b/src/gateway/serverselector.h
@@ -48,6 +48,8 @@
     {
         ServerDirectory::ServerPointer server;
         ServerLoad added;
+        std::uint32_t cachedTokens = 0;     //!< Of the prompt, at the server.
+        std::uint32_t mostCachedTokens = 0; //!< At any server that could have been chosen.
     };
 
     ServerSelector(const ServerDirectory &directory, const PrefixMemory &prefixes,
