ServerSelector: Allow three requests for each slot

Cause: at the crest the limit of 1.5, not the cost of waiting, decided where prompts were read.

A server that takes fewer refuses with the word that it did not run the request.

--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -45,7 +45,7 @@
 constexpr double kFailureMs = 300;
 // Requests that a server may have for each of its slots. A server admits what waits there by
 // urgency over all routers, so a short queue at the right server is better than many at routers.
-constexpr double kOverbooking = 1.5;
+constexpr double kOverbooking = 3;
 // Service time of one request of a plain service, until better is known.
 constexpr double kServiceMs = 20;
 // A server that has just started is slower.
