--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <optional>
 
@@ -182,7 +183,7 @@
     for (const auto &candidate : servers)
         mostCached = std::max(mostCached, candidate.cachedTokens);
     const auto longPromptServers = static_cast<std::size_t>(
-        kLongPromptShare * static_cast<double>(directory_.pool(pool).size()) + 0.5);
+        std::lround(kLongPromptShare * static_cast<double>(directory_.pool(pool).size())));
     const bool isLong = profile.promptTokens > kLongPromptTokens;
     const auto homeChain = sharedChain(profile);
     const bool isNewChain = homeChain && mostCached < sharedTokens(profile);
