--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -594,11 +594,18 @@
         .add("wait_ms", sentAttempts_ > 0 ? (placedAt_ - exchange_->arrival()).count() / 1000 : -1)
         .add("first_ms", firstEventAt_ ? measurement.firstToken->count() / 1000 : -1)
         .add("total_ms", measurement.answer.count() / 1000)
-        .add("configuration", table_ ? table_->version().value() : 0);
+        .add("configuration", table_ ? table_->version().value() : 0)
+        .add("knowledge_age_ms", knownAgeMs());
     services_.log.write(line.text());
     services_.open.erase(shared_from_this());
 }
 
+std::int64_t ForwardedRequest::knownAgeMs() const
+{
+    const auto age = services_.configurationAge();
+    return age == Duration::max() ? -1 : std::chrono::duration_cast<Milliseconds>(age).count();
+}
+
 void ForwardedRequest::logAttempt(std::string_view event, ResultCode code) const
 {
     LogLine line(event);
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -76,6 +76,8 @@
     void deliver();
     void end(Outcome outcome, ResultCode code, int status);
     void logAttempt(std::string_view event, ResultCode code) const;
+    //! Age of what the router knows of the store, or -1 before it has read it.
+    std::int64_t knownAgeMs() const;
 
     GatewayServices &services_;
     std::shared_ptr<HttpExchange> exchange_;
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -171,7 +171,8 @@
     if (!isSynchronized_ || step_ == Step::Listing)
         return;
     // While the store is out, one router that reaches it again calls the others back.
-    if (isFailing_ && at > bootTime() - kBackAgainTime && nextCallAt_ > bootTime() + kMinRefreshPause)
+    if (isFailing_ && at > bootTime() - kBackAgainTime
+        && nextCallAt_ > bootTime() + kMinRefreshPause)
         callAfter(kMinRefreshPause);
     if (revision <= revision_) {
         lastContact_ = std::max(lastContact_.value_or(at), at);
