Soak: Run gateways as processes and inject faults from outside

Cause: the tests on one loop cannot kill, pause or restart a process, or let faults of processes, connections and the store overlap.

--- a/tests/gateway/testeventsplitter.cpp
+++ b/tests/gateway/testeventsplitter.cpp
@@ -14,7 +14,8 @@
         std::string stream;
         for (int id = 1; id <= count; ++id) {
             const auto end = *rc::gen::element<std::string>("\n", "\r\n");
-            stream += "id: " + std::to_string(id) + end + "data: x" + end + end;
+            stream.append("id: ").append(std::to_string(id)).append(end);
+            stream.append("data: x").append(end).append(end);
         }
         EventSplitter splitter;
         std::string passed;
--- /dev/null
+++ b/tests/platform/soak/soak.cpp
@@ -0,0 +1,375 @@
+#include "soak.h"
+
+#include "../../transport/servers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace crocusport {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Share of requests that must be served once all faults have ended, as the platform's rule for
+// recovery says for a share of before.
+constexpr double kServedAfterHealing = 0.9;
+constexpr Duration kRecoveryTime = std::chrono::seconds(6);
+constexpr Duration kFinalTime = std::chrono::seconds(4);
+constexpr Duration kEventPause = std::chrono::milliseconds(30);
+constexpr int kDeadlineMs = 1500;
+constexpr Duration kRestartInterval = std::chrono::milliseconds(300);
+
+const char *kindName(SoakCheck::Kind kind)
+{
+    static constexpr const char *kNames[] = { "safe", "unsafe", "stream", "fragile" };
+    return kNames[static_cast<int>(kind)];
+}
+
+Json routeJson(const std::string &name, const std::string &kind, bool isResumable)
+{
+    return { { "name", name },
+             { "host", "app.example" },
+             { "pathPrefix", "/" + name + "/" },
+             { "kind", kind },
+             { "timeoutMs", 3000 },
+             { "targetLatencyMs", 400 },
+             { "gapAimMs", 200 },
+             { "priority", 1 },
+             { "service", "pool" },
+             { "maxAttempts", 2 },
+             { "allowAnonymous", false },
+             { "sessionAffinity", false },
+             { "resumable", isResumable } };
+}
+
+} // namespace
+
+struct Soak::Server
+{
+    std::string name;
+    std::unique_ptr<HttpServer> http;
+    std::unique_ptr<FaultProxy> proxy;
+    int refusals = 0; //!< Requests that it refuses next.
+    int breaks = 0;   //!< Requests under which it breaks its connection next.
+};
+
+struct Soak::Caller
+{
+    std::string id;
+    int status = 0;
+    bool isSealed = false;
+    std::string body;
+    std::unique_ptr<HttpCall> call;
+};
+
+Soak::Soak(EventLoop &loop, SoakOptions options)
+    : loop_(loop), options_(std::move(options)), random_(options_.seed), store_(loop),
+      client_(loop, {}), requestTimer_(loop, [this] { sendRequest(); }),
+      faultTimer_(loop, [this] { injectFault(); }), restartTimer_(loop, [this] { restartEnded(); }),
+      started_(monotonicNow())
+{
+    for (int i = 0; i < options_.servers; ++i) {
+        auto server = std::make_unique<Server>();
+        server->name = "server-" + std::to_string(i);
+        auto *const raw = server.get();
+        server->http =
+            makeServer(loop, [this, raw](const auto &exchange) { answer(*raw, exchange); });
+        server->proxy = std::make_unique<FaultProxy>(loop, server->http->address());
+        enter(*server, "ready");
+        servers_.push_back(std::move(server));
+    }
+    configure();
+    constexpr int kPortsPerRouter = 3;
+    for (int i = 0; i < options_.routers; ++i) {
+        storeProxies_.push_back(std::make_unique<FaultProxy>(loop, store_.address()));
+        routers_.push_back(std::make_unique<RouterProcess>(
+            options_.program, options_.directory, "router-" + std::to_string(i),
+            options_.firstPort + i * kPortsPerRouter, storeProxies_.back()->address()));
+        routers_.back()->start();
+    }
+}
+
+Soak::~Soak() = default;
+
+int Soak::drawn(int below)
+{
+    return std::uniform_int_distribution<int>(0, below - 1)(random_);
+}
+
+void Soak::note(const std::string &text) const
+{
+    const auto ms = std::chrono::duration_cast<Milliseconds>(monotonicNow() - started_).count();
+    std::cout << ms << " ms: " << text << '\n';
+}
+
+void Soak::after(Duration delay, std::function<void()> task)
+{
+    tasks_.push_back(std::make_unique<Timer>(loop_, std::move(task)));
+    tasks_.back()->startOnce(delay);
+}
+
+void Soak::configure()
+{
+    const auto key = "key-" + std::to_string(keyNumber_);
+    const Json configuration = {
+        { "version", ++version_ },
+        { "routes",
+          { routeJson("safe", "safe", false), routeJson("unsafe", "unsafe", false),
+            routeJson("stream", "stream", true), routeJson("fragile", "stream", false) } },
+        { "services",
+          { { { "name", "pool" }, { "healthPath", "/health" }, { "maxConns", 500 } } } },
+        { "tenants", { { { "name", "team-1" }, { "apiKeys", { key } }, { "priority", 1 } } } }
+    };
+    store_.put("op/config", configuration.dump());
+}
+
+void Soak::enter(Server &server, const std::string &state)
+{
+    const Json entry = { { "service", "pool" }, { "address", server.proxy->address().value() },
+                         { "zone", "zone-1" },  { "slots", 40 },
+                         { "state", state },    { "coldRemainingMs", 0 },
+                         { "born", 1000 },      { "seq", ++sequence_ } };
+    store_.put("servers/" + server.name, entry.dump());
+}
+
+void Soak::answer(Server &server, const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto id = exchange->header("X-Attempt-Id").value_or("");
+    if (server.refusals > 0) {
+        --server.refusals;
+        exchange->reply(503, { { "X-Not-Executed", "1" } }, "");
+        return;
+    }
+    check_.ran(id, monotonicNow());
+    if (server.breaks > 0) {
+        --server.breaks;
+        exchange->abort();
+        return;
+    }
+    const HttpHeaders headers = { { "X-Attempt-Id", id }, { "X-Response-Seal", server.name } };
+    const auto path = exchange->path();
+    if (path.starts_with("/stream/") || path.starts_with("/fragile/")) {
+        exchange->startStream(200, headers);
+        const auto last = exchange->header("Last-Event-Id").value_or("0");
+        continueStream(exchange, id, std::stoi(last) + 1);
+    } else {
+        exchange->reply(200, headers, SoakCheck::plainBody(id));
+    }
+}
+
+void Soak::continueStream(const std::shared_ptr<HttpExchange> &exchange, const std::string &id,
+                          int next)
+{
+    if (exchange->isClosed())
+        return;
+    if (next > SoakCheck::kEvents) {
+        exchange->endStream();
+        return;
+    }
+    exchange->sendChunk(SoakCheck::event(id, next));
+    after(kEventPause, [this, exchange, id, next] { continueStream(exchange, id, next + 1); });
+}
+
+void Soak::sendRequest()
+{
+    const auto kind = static_cast<SoakCheck::Kind>(drawn(4));
+    auto caller = std::make_unique<Caller>();
+    auto *const raw = caller.get();
+    raw->id = "r" + std::to_string(++nextId_);
+    const auto key = "key-"
+        + std::to_string(keyNumber_ - (!isHealing_ && keyNumber_ > 1 && drawn(8) == 0 ? 1 : 0));
+    check_.sent(raw->id, kind, key, monotonicNow());
+    sentAfterHealing_ += isHealing_ ? 1 : 0;
+    HttpCallRequest request;
+    request.address = routers_[static_cast<std::size_t>(drawn(options_.routers))]->callers();
+    request.method = "POST";
+    request.target = std::string("/") + kindName(kind) + "/1";
+    request.headers = { { "Host", "app.example" },
+                        { "X-Attempt-Id", raw->id },
+                        { "X-Deadline-Ms", std::to_string(kDeadlineMs) },
+                        { "Authorization", "Token " + key } };
+    request.body = "body of " + raw->id;
+    request.progressTimeout = std::chrono::seconds(5);
+    HttpCallHandlers handlers;
+    handlers.onHead = [raw](int status, const HttpHeaders &headers) {
+        raw->status = status;
+        raw->isSealed = std::any_of(headers.begin(), headers.end(), [](const auto &field) {
+            return field.first == "X-Response-Seal";
+        });
+    };
+    handlers.onBody = [raw](std::string_view data) { raw->body += data; };
+    handlers.onEnd = [this, raw](const HttpCallEnd &end) {
+        check_.answered(raw->id, raw->status, end.failure == HttpFailure::None, raw->isSealed,
+                        raw->body);
+        loop_.post([this, raw] { callers_.erase(raw); });
+    };
+    raw->call = client_.start(std::move(request), std::move(handlers));
+    callers_.emplace(raw, std::move(caller));
+}
+
+void Soak::injectFault()
+{
+    tasks_.erase(std::remove_if(tasks_.begin(), tasks_.end(),
+                                [](const auto &task) { return !task->isActive(); }),
+                 tasks_.end());
+    if (isHealing_)
+        return;
+    switch (drawn(3)) {
+    case 0:
+        injectProcessFault();
+        break;
+    case 1:
+        injectConnectionFault();
+        break;
+    default:
+        injectPlatformFault();
+    }
+    faultTimer_.startOnce(std::chrono::milliseconds(200 + drawn(1000)));
+}
+
+void Soak::injectProcessFault()
+{
+    auto *const router = routers_[static_cast<std::size_t>(drawn(options_.routers))].get();
+    switch (drawn(4)) {
+    case 0:
+        note("SIGKILL " + router->name());
+        router->signal(SIGKILL);
+        break;
+    case 1:
+        note("SIGTERM " + router->name());
+        router->signal(SIGTERM);
+        break;
+    case 2:
+        note("SIGHUP " + router->name());
+        router->signal(SIGHUP);
+        break;
+    default:
+        note("SIGSTOP " + router->name());
+        router->signal(SIGSTOP);
+        after(std::chrono::milliseconds(200 + drawn(4000)), [router] { router->signal(SIGCONT); });
+    }
+}
+
+void Soak::injectConnectionFault()
+{
+    static constexpr FaultProxy::Fault kFaults[] = { FaultProxy::Fault::Silent,
+                                                     FaultProxy::Fault::OneWay,
+                                                     FaultProxy::Fault::Reset };
+    const bool isStore = drawn(2) == 0;
+    auto *const proxy = isStore
+        ? storeProxies_[static_cast<std::size_t>(drawn(options_.routers))].get()
+        : servers_[static_cast<std::size_t>(drawn(options_.servers))]->proxy.get();
+    const auto fault = kFaults[drawn(3)];
+    note(std::string(isStore ? "store" : "server") + " connections, fault "
+         + std::to_string(static_cast<int>(fault)));
+    proxy->setFault(fault);
+    after(std::chrono::milliseconds(100 + drawn(4000)),
+          [proxy] { proxy->setFault(FaultProxy::Fault::None); });
+}
+
+void Soak::injectPlatformFault()
+{
+    auto &server = *servers_[static_cast<std::size_t>(drawn(options_.servers))];
+    switch (drawn(7)) {
+    case 0:
+        note("store out");
+        store_.setMode(drawn(2) == 0 ? StandInStore::Mode::Refusing : StandInStore::Mode::Silent);
+        after(std::chrono::milliseconds(200 + drawn(5000)),
+              [this] { store_.setMode(StandInStore::Mode::Serving); });
+        break;
+    case 1:
+        note("store drops its history");
+        store_.dropHistory();
+        break;
+    case 2:
+        note("key withdrawn");
+        check_.keyWithdrawn("key-" + std::to_string(keyNumber_), monotonicNow());
+        ++keyNumber_;
+        configure();
+        break;
+    case 3:
+        note("new version");
+        configure();
+        break;
+    case 4:
+        note("leaving " + server.name);
+        enter(server, "draining");
+        after(std::chrono::milliseconds(2500), [this, &server] { enter(server, "ready"); });
+        break;
+    case 5:
+        note("refusals of " + server.name);
+        server.refusals = 1 + drawn(20);
+        break;
+    default:
+        note("broken answers of " + server.name);
+        server.breaks = 1 + drawn(20);
+    }
+}
+
+void Soak::restartEnded()
+{
+    for (const auto &router : routers_) {
+        if (!router->isRunning()) {
+            note("start " + router->name());
+            router->start();
+        }
+    }
+}
+
+void Soak::heal()
+{
+    note("all faults end");
+    faultTimer_.stop();
+    store_.setMode(StandInStore::Mode::Serving);
+    for (const auto &proxy : storeProxies_)
+        proxy->setFault(FaultProxy::Fault::None);
+    for (const auto &server : servers_) {
+        server->proxy->setFault(FaultProxy::Fault::None);
+        server->refusals = 0;
+        server->breaks = 0;
+        enter(*server, "ready");
+    }
+    for (const auto &router : routers_)
+        router->signal(SIGCONT);
+}
+
+bool Soak::run()
+{
+    constexpr Duration kStartTime = std::chrono::milliseconds(1500);
+    after(kStartTime, [this] {
+        requestTimer_.startPeriodic(Duration(std::chrono::seconds(1)) / options_.requestsPerSecond);
+        faultTimer_.startOnce(std::chrono::milliseconds(500));
+        restartTimer_.startPeriodic(kRestartInterval);
+    });
+    const auto healedAt = kStartTime + Duration(options_.duration);
+    Timer healTimer(loop_, [this] { heal(); });
+    Timer countTimer(loop_, [this] {
+        isHealing_ = true;
+        servedBeforeHealing_ = check_.served();
+    });
+    Timer endTimer(loop_, [this] { requestTimer_.stop(); });
+    Timer stopTimer(loop_, [this] { loop_.stop(); });
+    healTimer.startOnce(healedAt);
+    countTimer.startOnce(healedAt + kRecoveryTime);
+    endTimer.startOnce(healedAt + kRecoveryTime + kFinalTime);
+    stopTimer.startOnce(healedAt + kRecoveryTime + kFinalTime + std::chrono::seconds(2));
+    loop_.run();
+
+    const auto served = check_.served() - servedBeforeHealing_;
+    std::cout << "seed " << options_.seed << ": " << check_.requests() << " requests, "
+              << check_.served() << " served; after the faults " << served << " of "
+              << sentAfterHealing_ << "; " << check_.faults().size() << " faults\n";
+    for (const auto &fault : check_.faults())
+        std::cout << "FAULT " << fault << '\n';
+    const bool isBack =
+        static_cast<double>(served) >= kServedAfterHealing * static_cast<double>(sentAfterHealing_);
+    if (!isBack)
+        std::cout << "FAULT service did not come back\n";
+    return check_.faults().empty() && isBack;
+}
+
+} // namespace crocusport
