Gateway: Tell other zones of the representative's own chains

Cause: the read-through found that only chains reported by the other routers of a zone reached the other zones. The factor 2 beside kDisturbanceMs is now part of it; the cost is the same.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,6 +113,7 @@
           [this](ServerHash server, ChainHash chain) {
               if (newChains_.size() < kMaxReportedChains)
                   newChains_.emplace_back(server, chain);
+              noteZoneChain(server, chain);
           },
           [this](Fingerprint fingerprint, const std::string &crash) {
               noteCrashSuspicion(fingerprint, crash);
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -19,8 +19,8 @@
 constexpr double kMsPerRunningRequest = 2;
 // A prompt over this length is read in several chunks, and delays several steps.
 constexpr std::uint32_t kLongPromptTokens = 1500;
-// Expected harm of a long prompt to one fully sensitive stream beside it.
-constexpr double kDisturbanceMs = 60;
+// Expected harm of the longest prompt to one fully sensitive stream beside it.
+constexpr double kDisturbanceMs = 120;
 // Prompt tokens beyond this are read after a sensitive stream has made most of its events.
 constexpr double kMaxDisturbingTokens = 8000;
 // A sensitive stream suffers in each of its events while prompts are read beside it.
@@ -135,7 +135,7 @@
     double cost = (pending + unread) / kPrefillTokensPerMs + kMsPerRunningRequest * load.requests;
     if (unread > kLongPromptTokens)
         cost += kDisturbanceMs * load.sensitivity * std::min(unread, kMaxDisturbingTokens)
-            / kMaxDisturbingTokens * 2;
+            / kMaxDisturbingTokens;
     cost += profile.sensitivity * kSensitivePrefillFactor * std::min(pending, kMaxDisturbingTokens)
         / kPrefillTokensPerMs;
     return cost;
