ServerConnection: Close at the end of a stream that outlasts the stop

Excluded: the listener, closed 2.9 s after the signal; the engine, whose run was good.

Test: a stream that began before a server stops accepting (red before).

--- a/src/transport/serverconnection.cpp
+++ b/src/transport/serverconnection.cpp
@@ -237,7 +237,8 @@
     exchange_ = nullptr;
     isBusy_ = false;
     --server_.openExchanges;
-    if (!keepAlive) {
+    // The head of a stream that began before the stop could not ask the caller to close.
+    if (!keepAlive || server_.isStopping) {
         isClosingAfterWrite_ = true;
         if (evbuffer_get_length(output()) == 0)
             startLingering();
--- a/tests/transport/testhttpserver.cpp
+++ b/tests/transport/testhttpserver.cpp
@@ -366,6 +366,37 @@
     }
 }
 
+SCENARIO("A stream that began before a server stops accepting")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    int handled = 0;
+    const auto server = makeServer(runner.loop(), [&](const auto &received) {
+        ++handled;
+        exchange = received;
+    });
+    RawClient client(runner.loop(), server->address());
+    client.send("GET /stream HTTP/1.1\r\n\r\n");
+    REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+    exchange->startStream(200, {});
+    server->stopAccepting();
+    exchange->sendChunk("last");
+    exchange->endStream();
+
+    // Guards against the next request on its connection, which is taken when the process is about
+    // to end: the head of the answer could not ask the caller to close.
+    THEN("its connection is closed after its end")
+    {
+        runner.runFor(Milliseconds(50));
+        client.send("GET /late HTTP/1.1\r\n\r\n");
+        runner.runFor(Milliseconds(50));
+        REQUIRE(client.isClosed());
+        REQUIRE_FALSE(client.isReset());
+        REQUIRE(client.received().find("last\r\n0\r\n\r\n") != std::string::npos);
+        REQUIRE(handled == 1);
+    }
+}
+
 SCENARIO("A server that stops accepting")
 {
     LoopRunner runner;
