Tests: Keep the parsed transaction while its items are read

Cause: AddressSanitizer on test_platform: the loop read the items of a temporary that was gone (the stand-in store, not the product). The release build passed by luck.

--- a/tests/platform/standinstore.cpp
+++ b/tests/platform/standinstore.cpp
@@ -62,7 +62,8 @@
     } else if (path == "/crocusport/kv-lease") {
         exchange->reply(200, {}, R"({"lease":77,"ttlMs":12000})");
     } else if (path == "/crocusport/kv-txn") {
-        for (const auto &item : Json::parse(exchange->body()).at("puts"))
+        const auto transaction = Json::parse(exchange->body());
+        for (const auto &item : transaction.at("puts"))
             put(item.at("key"), *fromBase64(item.at("value").get<std::string>()));
         exchange->reply(200, {}, Json { { "revision", revision_ } }.dump());
     } else {
