SilenceLimits: Wait for crowded servers, and give up only what can be repeated

The limit of silence now follows how late answers of the route begin, and an attempt is only ended when a repeat is allowed at that moment. The client asks its caller before it ends a silent call.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -72,6 +72,11 @@
 {
     std::function<void(int status, const HttpHeaders &headers)> onHead;
     std::function<void(std::string_view data)> onBody;
+    /*!
+        Called when no byte has moved for the call's progressTimeout. Returns whether to wait as
+        long again; without the function, the call ends.
+    */
+    std::function<bool()> onSilence;
     std::function<void(const HttpCallEnd &end)> onEnd;
 };
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -33,15 +33,6 @@
 constexpr int kMaxUnsentAttempts = 4;
 // Attempts that a server may refuse as not run, beyond those that may run.
 constexpr int kMaxRefusedAttempts = 2;
-// Silence after which a stream that may run again is sent to another server, at least. A server
-// that does not even acknowledge shows much earlier.
-constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1700);
-// Callers give a stream up after four times its objective or eight times its longest pause.
-constexpr int kSilentTargets = 2;
-constexpr int kSilentPauses = 4;
-// A safe request is repeated after this many times its objective, and not before the time that a
-// usual server may need.
-constexpr Duration kMinSafeSilence = std::chrono::milliseconds(200);
 // Share of the latency objective for which a request waits for a place.
 constexpr double kWaitShare = 0.5;
 // Advice to callers when the router itself cannot serve.
@@ -286,6 +277,7 @@
     HttpCallHandlers handlers;
     handlers.onHead = [this](int status, const HttpHeaders &headers) { onHead(status, headers); };
     handlers.onBody = [this](std::string_view data) { onBody(data); };
+    handlers.onSilence = [this] { return isWorthWaiting(); };
     handlers.onEnd = [this](const HttpCallEnd &callEnd) { onEnd(callEnd); };
     call_ = services_.backends.start(makeCall(*server_), std::move(handlers));
     ++sentAttempts_;
@@ -308,19 +300,16 @@
     call.headers = services_.formats.attemptHeaders(request_, head);
     call.body = exchange_->body();
     call.connectTimeout = std::min(kConnectTimeout, remaining);
-    call.progressTimeout = std::min(silenceLimit(), remaining);
+    call.progressTimeout = std::min(services_.silence.limit(route_), remaining);
     call.acceptsCloseDelimited = true;
     return call;
 }
 
-Duration ForwardedRequest::silenceLimit() const
+// A silent attempt is given up only when another one may take its place.
+bool ForwardedRequest::isWorthWaiting()
 {
-    if (!route_.isIdempotent())
-        return Duration::max();
-    if (route_.kind == RequestKind::Safe)
-        return std::max(route_.target * kSilentTargets, kMinSafeSilence);
-    return std::max(
-        { kMinStreamSilence, route_.target * kSilentTargets, route_.maxPause * kSilentPauses });
+    const auto now = monotonicNow();
+    return now < deadline_ && !isRepeatAllowed(AttemptFault::Broken);
 }
 
 void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
@@ -359,8 +348,13 @@
 void ForwardedRequest::onEvents(const EventBatch &batch)
 {
     const auto self = shared_from_this();
+    const auto now = monotonicNow();
     if (!firstEventAt_)
-        firstEventAt_ = monotonicNow();
+        firstEventAt_ = now;
+    if (attemptEvents_ == 0) {
+        attemptStreamedAt_ = now;
+        services_.silence.noteBegin(route_.name, now - placedAt_);
+    }
     if (load_.prefillTokens > 0) {
         // The prompt has been read.
         ServerLoad read;
@@ -372,8 +366,6 @@
     if (!exchange_->isStarted())
         exchange_->startStream(answer_->status, answer_->passedHeaders);
     exchange_->sendChunk(batch.text);
-    if (attemptEvents_ == 0)
-        attemptStreamedAt_ = monotonicNow();
     attemptEvents_ += batch.count;
     events_ += batch.count;
     if (batch.lastId)
@@ -418,12 +410,14 @@
     const bool isFailure = answer_->status >= kServerError;
     server_->health.noteAnswer(isFailure, now);
     server_->noteRun(now - placedAt_);
-    if (!isStream_)
+    if (!isStream_) {
         services_.paceSeen(*server_, toSeconds(now - placedAt_) * kMsPerSecond);
-    else if (attemptEvents_ > kMinPaceEvents)
+        services_.silence.noteBegin(route_.name, now - placedAt_);
+    } else if (attemptEvents_ > kMinPaceEvents) {
         services_.paceSeen(*server_,
                            toSeconds(now - attemptStreamedAt_) * kMsPerSecond
                                / static_cast<double>(attemptEvents_ - 1));
+    }
     releaseServer();
     if (isFailure && route_.isIdempotent() && mayRepeat(AttemptFault::Failed)) {
         logAttempt("attempt_failed", ResultCode::BackendServerError);
@@ -474,7 +468,7 @@
         finishFault(code);
 }
 
-bool ForwardedRequest::mayRepeat(AttemptFault fault)
+bool ForwardedRequest::isRepeatAllowed(AttemptFault fault) const
 {
     const auto now = monotonicNow();
     if (now >= deadline_)
@@ -492,7 +486,16 @@
             return false;
         break;
     }
-    return services_.retryWindow(pool_).tryRepeat(services_.routerCount(), now);
+    return services_.retryWindow(pool_).canRepeat(services_.routerCount(), now);
+}
+
+bool ForwardedRequest::mayRepeat(AttemptFault fault)
+{
+    if (!isRepeatAllowed(fault))
+        return false;
+    // Nothing arrives at a server by an attempt that finds no connection.
+    return fault == AttemptFault::NotSent
+        || services_.retryWindow(pool_).tryRepeat(services_.routerCount(), monotonicNow());
 }
 
 void ForwardedRequest::onCallerLeft()
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -57,8 +57,8 @@
     void onWaitedTooLong();
     void startAttempt(const ServerSelector::Choice &choice);
     HttpCallRequest makeCall(const KnownServer &server) const;
-    //! Time without a byte after which the attempt counts as broken.
-    Duration silenceLimit() const;
+    //! Whether the attempt goes on though its server has been silent.
+    bool isWorthWaiting();
     void onHead(int status, const HttpHeaders &headers);
     void onBody(std::string_view data);
     void onEvents(const EventBatch &batch);
@@ -67,6 +67,9 @@
     void releaseServer();
     void noteFault(AttemptFault fault, const HttpCallEnd &end);
     void onFault(AttemptFault fault, ResultCode code);
+    //! Whether the request may be sent once more after \a fault.
+    bool isRepeatAllowed(AttemptFault fault) const;
+    //! Whether the request is sent once more after \a fault; takes it out of the retry budget.
     bool mayRepeat(AttemptFault fault);
 
     void onCallerLeft();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,6 +101,7 @@
           prefixes_,
           selector_,
           waiting_,
+          silence_,
           crashes_,
           metrics_,
           log_,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -88,6 +88,7 @@
     PrefixMemory prefixes_;
     ServerSelector selector_;
     WaitingList waiting_;
+    SilenceLimits silence_;
     CrashLedger crashes_;
     RequestMetrics metrics_;
     PeerLoads peers_;
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -6,6 +6,7 @@
 #include "retrywindow.h"
 #include "serverdirectory.h"
 #include "serverselector.h"
+#include "silencelimits.h"
 #include "waitinglist.h"
 
 #include "logline.h"
@@ -37,6 +38,7 @@
     PrefixMemory &prefixes;
     ServerSelector &selector;
     WaitingList &waiting;
+    SilenceLimits &silence;
     CrashLedger &crashes;
     RequestMetrics &metrics;
     LogWriter &log;
--- a/src/gateway/retrywindow.cpp
+++ b/src/gateway/retrywindow.cpp
@@ -25,14 +25,19 @@
     requests_.push_back(now);
 }
 
-bool RetryWindow::tryRepeat(std::size_t routerCount, Instant now)
+bool RetryWindow::canRepeat(std::size_t routerCount, Instant now)
 {
     expire(requests_, now - limits_.window);
     expire(repeats_, now - limits_.window);
     double allowed = limits_.ratio * static_cast<double>(requests_.size());
     if (routerCount > 0)
         allowed += kSlackShare * limits_.slack / static_cast<double>(routerCount);
-    if (static_cast<double>(repeats_.size()) + 1 > kUsedShare * allowed)
+    return static_cast<double>(repeats_.size()) + 1 <= kUsedShare * allowed;
+}
+
+bool RetryWindow::tryRepeat(std::size_t routerCount, Instant now)
+{
+    if (!canRepeat(routerCount, now))
         return false;
     repeats_.push_back(now);
     return true;
--- a/src/gateway/retrywindow.h
+++ b/src/gateway/retrywindow.h
@@ -29,7 +29,9 @@
     explicit RetryWindow(const RetryLimits &limits) : limits_(limits) { }
 
     void noteRequest(Instant now);
-    //! Takes one repeat out of the budget of \a routerCount routers. Returns false if it is spent.
+    //! Returns whether one more repeat is in the budget of \a routerCount routers.
+    bool canRepeat(std::size_t routerCount, Instant now);
+    //! Takes one repeat out of the budget. Returns false if it is spent.
     bool tryRepeat(std::size_t routerCount, Instant now);
 
 private:
--- a/src/transport/callstate.cpp
+++ b/src/transport/callstate.cpp
@@ -50,10 +50,16 @@
     }
     const auto deadline = lastMoved_ + request_.progressTimeout;
     const auto now = monotonicNow();
-    if (now >= deadline)
-        end(HttpFailure::ProgressTimeout);
-    else
+    if (now < deadline) {
         timer_.startOnce(deadline - now);
+        return;
+    }
+    if (handlers_.onSilence && handlers_.onSilence()) {
+        lastMoved_ = now;
+        timer_.startOnce(request_.progressTimeout);
+        return;
+    }
+    end(HttpFailure::ProgressTimeout);
 }
 
 // A handler may cancel the call, and with it would destroy itself, so that waits for its return.
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -244,6 +244,25 @@
     REQUIRE(server.requestCount() == 1);
 }
 
+SCENARIO("A silent server that its caller goes on waiting for")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.progressTimeout = Milliseconds(50);
+    auto handlers = record.handlers();
+    int silences = 0;
+    handlers.onSilence = [&] { return ++silences < 3; };
+
+    // Guards against an answer that is given up though nothing better can be had.
+    const auto call = client.start(request, std::move(handlers));
+    REQUIRE(runner.runUntil([&] { return record.end.has_value(); }));
+    REQUIRE(record.end->failure == HttpFailure::ProgressTimeout);
+    REQUIRE(silences == 3);
+}
+
 SCENARIO("A slow server that makes progress is not timed out")
 {
     LoopRunner runner;
