--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -43,8 +43,6 @@
 constexpr std::size_t kMaxUnreadBytes = 2UL * 1024 * 1024;
 // Shorter shared parts cost less to read again than to tell other routers of.
 constexpr std::uint32_t kReportedPartTokens = 200;
-// Shorter streams say little about the pace of a server.
-constexpr std::uint64_t kMinPaceEvents = 5;
 constexpr double kMsPerSecond = 1000;
 // Urgency values that backend servers know.
 constexpr int kMaxUrgency = 9;
@@ -74,7 +72,7 @@
 
 ForwardedRequest::ForwardedRequest(GatewayServices &services,
                                    std::shared_ptr<HttpExchange> exchange)
-    : services_(services), exchange_(std::move(exchange)),
+    : services_(services), exchange_(std::move(exchange)), account_(exchange_->arrival()),
       deadlineTimer_(services.loop, [this] { onDeadline(); }),
       waitTimer_(services.loop, [this] { onWaitedTooLong(); })
 { }
@@ -256,8 +254,7 @@
     table_ = services_.table();
     server_ = choice.server;
     load_ = choice.added;
-    cachedTokens_ = choice.cachedTokens;
-    mostCachedTokens_ = choice.mostCachedTokens;
+    account_.noteAttempt(choice.cachedTokens, choice.mostCachedTokens, now);
     server_->own += load_;
     services_.loadChanged();
     const auto hash = server_->hash;
@@ -268,12 +265,10 @@
         if (isShared && work_.parts[i].tokens >= kReportedPartTokens)
             services_.chainSent(hash, work_.chains[i]);
     }
-    placedAt_ = now;
     answer_.reset();
     body_.clear();
     splitter_.clear();
     isStream_ = false;
-    attemptEvents_ = 0;
     HttpCallHandlers handlers;
     handlers.onHead = [this](int status, const HttpHeaders &headers) { onHead(status, headers); };
     handlers.onBody = [this](std::string_view data) { onBody(data); };
@@ -349,12 +344,8 @@
 {
     const auto self = shared_from_this();
     const auto now = monotonicNow();
-    if (!firstEventAt_)
-        firstEventAt_ = now;
-    if (attemptEvents_ == 0) {
-        attemptStreamedAt_ = now;
-        services_.silence.noteBegin(route_.name, now - placedAt_);
-    }
+    if (account_.noteEvents(batch.count, now))
+        services_.silence.noteBegin(route_.name, account_.attemptTime(now));
     if (load_.prefillTokens > 0) {
         // The prompt has been read.
         ServerLoad read;
@@ -366,8 +357,6 @@
     if (!exchange_->isStarted())
         exchange_->startStream(answer_->status, answer_->passedHeaders);
     exchange_->sendChunk(batch.text);
-    attemptEvents_ += batch.count;
-    events_ += batch.count;
     if (batch.lastId)
         lastEventId_ = batch.lastId;
     if (exchange_->bufferedBytes() > kMaxUnreadBytes)
@@ -409,14 +398,13 @@
     mayHaveRun_ = true;
     const bool isFailure = answer_->status >= kServerError;
     server_->health.noteAnswer(isFailure, now);
-    server_->noteRun(now - placedAt_);
+    const auto time = account_.attemptTime(now);
+    server_->noteRun(time);
     if (!isStream_) {
-        services_.paceSeen(*server_, toSeconds(now - placedAt_) * kMsPerSecond);
-        services_.silence.noteBegin(route_.name, now - placedAt_);
-    } else if (attemptEvents_ > kMinPaceEvents) {
-        services_.paceSeen(*server_,
-                           toSeconds(now - attemptStreamedAt_) * kMsPerSecond
-                               / static_cast<double>(attemptEvents_ - 1));
+        services_.paceSeen(*server_, toSeconds(time) * kMsPerSecond);
+        services_.silence.noteBegin(route_.name, time);
+    } else if (const auto pace = account_.eventPaceMs(now)) {
+        services_.paceSeen(*server_, *pace);
     }
     releaseServer();
     if (isFailure && route_.isIdempotent() && mayRepeat(AttemptFault::Failed)) {
@@ -577,14 +565,9 @@
     measurement.team = team_;
     measurement.outcome = outcome;
     measurement.code = code;
-    measurement.answer = now - exchange_->arrival();
-    if (sentAttempts_ > 0)
-        measurement.queueWait = placedAt_ - exchange_->arrival();
-    if (firstEventAt_)
-        measurement.firstToken = *firstEventAt_ - exchange_->arrival();
-    measurement.outputTokens = events_;
-    measurement.isTargetMet = outcome == Outcome::Completed
-        && measurement.firstToken.value_or(measurement.answer) <= route_.target;
+    account_.measure(measurement, now);
+    const auto lateness = account_.lateness(route_, outcome == Outcome::Completed, now);
+    measurement.isTargetMet = outcome == Outcome::Completed && lateness == Lateness::None;
     services_.metrics.observe(measurement);
     LogLine line("request_ended");
     line.add("id", request_.id)
@@ -596,15 +579,11 @@
         .add("attempts", sentAttempts_)
         .add("unsent", unsentAttempts_)
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
-        .add("events", events_)
         .add("prompt", work_.promptTokens)
-        .add("cached", cachedTokens_)
-        .add("most_cached", mostCachedTokens_)
-        .add("wait_ms", sentAttempts_ > 0 ? (placedAt_ - exchange_->arrival()).count() / 1000 : -1)
-        .add("first_ms", firstEventAt_ ? measurement.firstToken->count() / 1000 : -1)
-        .add("total_ms", measurement.answer.count() / 1000)
+        .add("late", latenessName(lateness))
         .add("configuration", table_ ? table_->version().value() : 0)
         .add("knowledge_age_ms", knownAgeMs());
+    account_.describe(line, now);
     services_.log.write(line.text());
     services_.open.erase(shared_from_this());
 }
@@ -623,8 +602,10 @@
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("status", answer_ ? answer_->status : 0)
         .add("attempts", sentAttempts_)
-        .add("events", events_)
-        .add("after_ms", (monotonicNow() - placedAt_).count() / 1000);
+        .add("events", account_.events())
+        .add(
+            "after_ms",
+            std::chrono::duration_cast<Milliseconds>(account_.attemptTime(monotonicNow())).count());
     services_.log.write(line.text());
 }
 
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -3,6 +3,7 @@
 
 #include "eventsplitter.h"
 #include "gatewayservices.h"
+#include "requestaccount.h"
 
 #include "crocusport/transport/timer.h"
 
@@ -84,6 +85,7 @@
 
     GatewayServices &services_;
     std::shared_ptr<HttpExchange> exchange_;
+    RequestAccount account_;
     IncomingRequest request_;
     std::shared_ptr<const RoutingTable> table_; //!< In force when the request was placed last.
     Route route_;
@@ -99,8 +101,6 @@
 
     std::shared_ptr<KnownServer> server_; //!< Of the attempt in progress.
     ServerLoad load_;                     //!< That the attempt adds to its server.
-    std::uint32_t cachedTokens_ = 0;      //!< That the last server was expected to hold.
-    std::uint32_t mostCachedTokens_ = 0;  //!< That any server was expected to hold then.
     std::unique_ptr<HttpCall> call_;
     std::optional<AnswerHead> answer_;
     std::string body_;
@@ -112,12 +112,6 @@
     bool isStream_ = false;   //!< The answer in progress is a stream of events.
     bool mayHaveRun_ = false; //!< An attempt may have run, or runs.
     bool isEnded_ = false;
-
-    Instant placedAt_;
-    std::optional<Instant> firstEventAt_;
-    std::uint64_t events_ = 0;
-    std::uint64_t attemptEvents_ = 0; //!< Of the attempt in progress.
-    Instant attemptStreamedAt_;       //!< Of its first event.
 };
 
 } // namespace crocusport
