ServerDirectory: Leave out servers whose address a later one has taken

Excluded: telling other routers of each 421 (three report intervals later the entries have lapsed anyway).

--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -156,6 +156,7 @@
     if (isRestarted || isMoved) {
         server->isGone = true;
         unlink(server);
+        releaseAddress(server);
         server = nullptr;
     }
     if (!server) {
@@ -168,6 +169,8 @@
                                          return left->hash < right->hash;
                                      }),
                     server);
+        server->entry = entry;
+        claimAddress(server);
     }
     server->entry = entry;
     server->coldUntil = now + entry.coldRemaining;
@@ -180,6 +183,7 @@
     if (found == servers_.end())
         return;
     found->second->isGone = true;
+    releaseAddress(found->second);
     removed_[name] = { found->second->entry, now };
     unlink(found->second);
     hashes_.erase(found->second->hash);
@@ -191,6 +195,29 @@
     std::erase(pools_[server->entry.pool], server);
 }
 
+// The entry of a server that has crashed stays until it lapses. By then its successor may have
+// registered under another name, and would answer that it is not the server that was asked for.
+void ServerDirectory::claimAddress(const ServerPointer &server)
+{
+    auto &holder = byAddress_[server->entry.address];
+    if (holder && holder->entry.start < server->entry.start)
+        holder->isSuperseded = true;
+    if (!holder || holder->isSuperseded)
+        holder = server;
+}
+
+void ServerDirectory::releaseAddress(const ServerPointer &server)
+{
+    const auto found = byAddress_.find(server->entry.address);
+    if (found == byAddress_.end() || found->second != server)
+        return;
+    byAddress_.erase(found);
+    for (const auto &[name, other] : servers_) {
+        if (other != server && other->entry.address == server->entry.address)
+            other->isSuperseded = false;
+    }
+}
+
 void ServerDirectory::expire(Instant now)
 {
     std::erase_if(removed_,
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -94,8 +94,12 @@
     Instant coldUntil {};
     double meanRunMs = kUsualRunMs; //!< Of this router's requests, from sending to the end.
     bool isGone = false;            //!< Its entry was removed; requests may still run there.
+    bool isSuperseded = false;      //!< A server that started later has its address.
 
-    bool isUsable() const { return !isGone && entry.state == BackendServerState::Live; }
+    bool isUsable() const
+    {
+        return !isGone && !isSuperseded && entry.state == BackendServerState::Live;
+    }
     ServerLoad load() const;
     //! A request has run to its end in \a time.
     void noteRun(Duration time);
@@ -140,10 +144,13 @@
     };
 
     void unlink(const ServerPointer &server);
+    void claimAddress(const ServerPointer &server);
+    void releaseAddress(const ServerPointer &server);
 
     std::unordered_map<BackendServerName, ServerPointer> servers_;
     std::unordered_map<ServerHash, ServerPointer> hashes_;
     std::unordered_map<PoolName, std::vector<ServerPointer>> pools_;
+    std::unordered_map<SocketAddress, ServerPointer> byAddress_; //!< The one that started last.
     std::unordered_map<BackendServerName, Removed> removed_;
 };
 
--- a/tests/gateway/testserverselector.cpp
+++ b/tests/gateway/testserverselector.cpp
@@ -23,6 +23,7 @@
             entry.address = SocketAddress("10.0.0." + std::to_string(i + 1) + ":80");
             entry.zone = AvailabilityZone("zone-0");
             entry.slots = 64;
+            entry.start = StartNumber(1000);
             entry.sequence = 1;
             directory.update(entry, now);
         }
@@ -242,6 +243,45 @@
     }
 }
 
+SCENARIO("An engine that crashed and came back under another name")
+{
+    Engines engines(2);
+    const auto chat = prompt({ { 1, 600 } }, 1);
+    const auto old = engines.directory.find(BackendServerName("engine-0"));
+    engines.directory.find(BackendServerName("engine-1"))->others.requests = 3 * 64;
+    auto entry = old->entry;
+    entry.name = BackendServerName("engine-0b");
+    entry.start = StartNumber(entry.start.value() + 1);
+
+    // Guards against requests to the old name, which its successor rejects, until the old entry
+    // lapses two seconds later.
+    WHEN("the entry of its successor arrives")
+    {
+        REQUIRE(engines.directory.update(entry, engines.now));
+        THEN("the old name gets no request")
+        {
+            for (int i = 0; i < 40; ++i)
+                REQUIRE(engines.place(chat) == "engine-0b");
+            REQUIRE_FALSE(old->isUsable());
+        }
+        AND_WHEN("the successor is removed first")
+        {
+            engines.directory.remove(entry.name, engines.now);
+            THEN("the old name is trusted again")
+            {
+                REQUIRE(old->isUsable());
+            }
+        }
+    }
+    // Guards against a late copy of an entry that puts a live server out of use.
+    WHEN("an older entry with its address arrives")
+    {
+        entry.start = StartNumber();
+        REQUIRE(engines.directory.update(entry, engines.now));
+        REQUIRE(old->isUsable());
+    }
+}
+
 SCENARIO("An engine that turns slow")
 {
     Engines engines(4);
