--- a/include/crocusport/gateway/routingtable.h
+++ b/include/crocusport/gateway/routingtable.h
@@ -3,6 +3,7 @@
 
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
+#include "crocusport/transport/httpserver.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -70,23 +71,14 @@
     std::optional<int> priority; //!< 0 is the highest; counts before the route's.
 };
 
-//! Bounds on what a caller may send, and on how long it may take.
-struct CallerLimits
-{
-    std::size_t maxHeadBytes = 0;
-    std::size_t maxBodyBytes = 0;
-    Duration headTimeout {};
-    Duration idleTimeout {};
-};
-
 //! One version of the configuration as the operators publish it.
 struct RoutingConfiguration
 {
     ConfigurationVersion version;
     std::vector<Route> routes;
     std::vector<PoolEntry> pools;
-    std::vector<TeamEntry> teams; //!< Empty: requests need no key.
-    std::optional<CallerLimits> limits;
+    std::vector<TeamEntry> teams;           //!< Empty: requests need no key.
+    std::optional<HttpServerLimits> limits; //!< Of callers; their number is not set here.
 };
 
 /*!
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,7 @@
 #include "gateway.h"
 
-#include "boottime.h"
 #include "forwardedrequest.h"
+#include "uptime.h"
 
 #include "crocusport/transport/eventloop.h"
 
@@ -92,7 +92,7 @@
                         if (!waiting_.empty())
                             waitingTimer_.startOnce(kWaitingInterval);
                     }),
-      started_(monotonicNow()), reportedAt_(started_), nextHousekeeping_(started_), services_ {
+      reportedAt_(monotonicNow()), nextHousekeeping_(reportedAt_), services_ {
           loop,
           settings_,
           formats_,
@@ -230,11 +230,7 @@
     const auto &limits = table_->configuration().limits;
     if (!limits)
         return;
-    HttpServerLimits applied;
-    applied.maxHeadBytes = limits->maxHeadBytes;
-    applied.maxBodyBytes = limits->maxBodyBytes;
-    applied.headTimeout = limits->headTimeout;
-    applied.idleTimeout = limits->idleTimeout;
+    auto applied = *limits;
     applied.maxConnections = kMaxCallers;
     callers_->setLimits(applied);
 }
@@ -344,7 +340,7 @@
 // nothing about how fresh the router's knowledge is.
 void Gateway::hearStore(const StoreKnowledge &knowledge)
 {
-    const auto now = bootTime();
+    const auto now = uptime();
     if (now - tickedAt_ > kMaxTickGap || now < ignoreStoreUntil_)
         return;
     feed_->hear(knowledge.revision, now - knowledge.age - kReportTransit);
@@ -453,7 +449,7 @@
 Duration Gateway::configurationAge() const
 {
     const auto contact = feed_ ? feed_->lastContact() : std::nullopt;
-    return contact ? bootTime() - *contact : Duration::max();
+    return contact ? uptime() - *contact : Duration::max();
 }
 
 RetryWindow &Gateway::retryWindow(const PoolName &pool)
@@ -506,7 +502,7 @@
 void Gateway::tick()
 {
     const auto now = monotonicNow();
-    const auto boot = bootTime();
+    const auto boot = uptime();
     if (boot - tickedAt_ > kMaxTickGap)
         ignoreStoreUntil_ = boot + kMaxTickGap;
     tickedAt_ = boot;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,7 +104,6 @@
     Timer tickTimer_;
     Timer reportTimer_;
     Timer waitingTimer_;
-    Instant started_;
     Instant reportedAt_;
     Instant zoneReportedAt_;
     StoreRevision reportedRevision_ = 0;
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -1,6 +1,6 @@
 #include "storefeed.h"
 
-#include "boottime.h"
+#include "uptime.h"
 
 #include "crocusport/transport/eventloop.h"
 
@@ -39,7 +39,7 @@
 
 bool StoreFeed::isJustBack() const
 {
-    return isFailing_ || (backSince_ && bootTime() < *backSince_ + kReturnTime);
+    return isFailing_ || (backSince_ && uptime() < *backSince_ + kReturnTime);
 }
 
 void StoreFeed::onTimer()
@@ -63,7 +63,7 @@
     if (isFailing_)
         request.connection = ConnectionUse::Fresh;
     body_.clear();
-    sentAt_ = bootTime();
+    sentAt_ = uptime();
     ++startedCalls_;
     HttpCallHandlers handlers;
     handlers.onBody = [this](std::string_view data) { body_ += data; };
@@ -125,7 +125,7 @@
         revision_ = std::max(revision_, page.revision);
     }
     lastContact_ = sentAt_;
-    const auto elapsed = bootTime() - sentAt_;
+    const auto elapsed = uptime() - sentAt_;
     callAfter(std::max(options_.pollInterval - elapsed, Duration::zero()));
 }
 
@@ -169,8 +169,7 @@
     if (!isSynchronized_ || step_ == Step::Listing)
         return;
     // While the store is out, one router that reaches it again calls the others back.
-    if (isFailing_ && at > bootTime() - kBackAgainTime
-        && nextCallAt_ > bootTime() + kMinRefreshPause)
+    if (isFailing_ && at > uptime() - kBackAgainTime && nextCallAt_ > uptime() + kMinRefreshPause)
         callAfter(kMinRefreshPause);
     if (revision <= revision_) {
         lastContact_ = std::max(lastContact_.value_or(at), at);
@@ -184,21 +183,21 @@
     const bool isCalling = call_ && !call_->isEnded();
     if (isCalling || isFailing_)
         return;
-    const auto due = std::max(sentAt_ + kMinRefreshPause, bootTime());
+    const auto due = std::max(sentAt_ + kMinRefreshPause, uptime());
     if (due < nextCallAt_)
-        callAfter(due - bootTime());
+        callAfter(due - uptime());
 }
 
 void StoreFeed::callAfter(Duration delay)
 {
-    nextCallAt_ = bootTime() + delay;
+    nextCallAt_ = uptime() + delay;
     timer_.startOnce(delay);
 }
 
 void StoreFeed::fail(const std::string &reason)
 {
     if (!std::exchange(isFailing_, true)) {
-        failingSince_ = bootTime();
+        failingSince_ = uptime();
         failurePause_ = kMinFailurePause;
         onReachChanged_(reason);
     }
@@ -211,8 +210,8 @@
 {
     if (!std::exchange(isFailing_, false))
         return;
-    if (bootTime() - failingSince_ >= kOutageTime)
-        backSince_ = bootTime();
+    if (uptime() - failingSince_ >= kOutageTime)
+        backSince_ = uptime();
     onReachChanged_({});
 }
 
--- a/src/gateway/boottime.h
+++ b/src/gateway/uptime.h
@@ -1,5 +1,5 @@
-#ifndef CROCUSPORT_BOOTTIME_H
-#define CROCUSPORT_BOOTTIME_H
+#ifndef CROCUSPORT_UPTIME_H
+#define CROCUSPORT_UPTIME_H
 
 #include "crocusport/state/instant.h"
 
@@ -11,7 +11,7 @@
     Time since the host's start, including the time for which it was suspended. What a router has
     learned grows old while its host sleeps, which the monotonic clock does not count.
 */
-inline Duration bootTime()
+inline Duration uptime()
 {
     timespec time {};
     clock_gettime(CLOCK_BOOTTIME, &time);
@@ -21,4 +21,4 @@
 
 } // namespace crocusport
 
-#endif // CROCUSPORT_BOOTTIME_H
+#endif // CROCUSPORT_UPTIME_H
