--- a/tests/platform/soak/faultproxy.cpp
+++ b/tests/platform/soak/faultproxy.cpp
@@ -11,8 +11,15 @@
 
 namespace crocusport {
 
+namespace {
+
+// Longer than any way inside a region, shorter than the time limits of calls.
+constexpr Duration kDelay = std::chrono::milliseconds(200);
+
+} // namespace
+
 FaultProxy::FaultProxy(EventLoop &loop, SocketAddress target)
-    : loop_(loop), target_(std::move(target))
+    : loop_(loop), target_(std::move(target)), delayTimer_(loop, [this] { passDelayed(); })
 {
     listener_ = handleErrors(
         [&] {
@@ -38,12 +45,25 @@
             link.isStuck = true;
     }
     fault_ = fault;
+    if (fault == Fault::Delay)
+        delayTimer_.startPeriodic(kDelay);
+    else
+        delayTimer_.stop();
+    passDelayed();
     if (fault != Fault::Reset)
         return;
     while (!links_.empty())
         close(&links_.front(), true);
 }
 
+void FaultProxy::passDelayed()
+{
+    for (auto &link : links_) {
+        for (auto *const end : { link.client, link.server })
+            bufferevent_enable(end, EV_READ);
+    }
+}
+
 void FaultProxy::onAccepted(evconnlistener * /*listener*/, int socket, sockaddr * /*address*/,
                             int /*size*/, void *self)
 {
@@ -78,6 +98,8 @@
         return;
     }
     bufferevent_write_buffer(from == link->client ? link->server : link->client, input);
+    if (fault == Fault::Delay)
+        bufferevent_disable(from, EV_READ);
 }
 
 void FaultProxy::onEvent(bufferevent *from, short what, void *argument)
--- a/tests/platform/soak/faultproxy.h
+++ b/tests/platform/soak/faultproxy.h
@@ -3,6 +3,7 @@
 
 #include "crocusport/state/identifiers.h"
 #include "crocusport/transport/eventloop.h"
+#include "crocusport/transport/timer.h"
 
 #include <event2/listener.h>
 
@@ -21,8 +22,9 @@
 class FaultProxy
 {
 public:
-    //! What happens to bytes; Reset also ends the connections that are open.
-    enum class Fault { None, Silent, OneWay, Reset };
+    //! What happens to bytes: Reset also ends the connections that are open, Delay passes them on
+    //! in bursts.
+    enum class Fault { None, Silent, OneWay, Reset, Delay };
 
     FaultProxy(EventLoop &loop, SocketAddress target);
     ~FaultProxy();
@@ -48,6 +50,7 @@
     static void onDrained(bufferevent *to, void *link);
     static void onEvent(bufferevent *from, short what, void *link);
     void close(Link *link, bool isReset);
+    void passDelayed();
 
     EventLoop &loop_;
     SocketAddress target_;
@@ -55,6 +58,7 @@
     evconnlistener *listener_ = nullptr;
     std::list<Link> links_;
     Fault fault_ = Fault::None;
+    Timer delayTimer_;
 };
 
 } // namespace crocusport
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <iterator>
 
 namespace crocusport {
 
@@ -258,12 +259,13 @@
 {
     static constexpr FaultProxy::Fault kFaults[] = { FaultProxy::Fault::Silent,
                                                      FaultProxy::Fault::OneWay,
-                                                     FaultProxy::Fault::Reset };
+                                                     FaultProxy::Fault::Reset,
+                                                     FaultProxy::Fault::Delay };
     const bool isStore = drawn(2) == 0;
     auto *const proxy = isStore
         ? storeProxies_[static_cast<std::size_t>(drawn(options_.routers))].get()
         : servers_[static_cast<std::size_t>(drawn(options_.servers))]->proxy.get();
-    const auto fault = kFaults[drawn(3)];
+    const auto fault = kFaults[drawn(static_cast<int>(std::size(kFaults)))];
     note(std::string(isStore ? "store" : "server") + " connections, fault "
          + std::to_string(static_cast<int>(fault)));
     proxy->setFault(fault);
