Tests: Cover load reports, changed messages and closed first attempts

Load reports between routers had no test of their own: what they carry, that late and cut ones harm nothing, silence, restarts, and the two scopes of a large fleet. No fault was found.

--- /dev/null
+++ b/tests/gateway/testloadexchange.cpp
@@ -0,0 +1,173 @@
+#include "loadexchange.h"
+
+#include <rapidcheck/catch.h>
+
+#include <string>
+
+using namespace crocusport;
+
+namespace {
+
+RouterEntry router(const std::string &name, const std::string &zone)
+{
+    return { RouterName(name), SocketAddress("10.0.0.1:7000"), AvailabilityZone(zone) };
+}
+
+LoadReport reportOf(const RouterEntry &sender, std::uint64_t sequence, ServerHash server,
+                    std::uint32_t requests)
+{
+    LoadReport report;
+    report.router = sender;
+    report.sequence = sequence;
+    ServerLoad load;
+    load.requests = requests;
+    load.prefillTokens = 1000;
+    load.memoryTokens = 5000;
+    load.sensitivity = 0.25;
+    report.loads.emplace_back(server, load);
+    return report;
+}
+
+Result<LoadReport> decode(const std::string &bytes)
+{
+    return decodeLoadReport(bytes);
+}
+
+bool isDecoded(const std::string &bytes)
+{
+    return handleErrors(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(decode(bytes));
+            return true;
+        },
+        [](const Error & /*error*/) { return false; });
+}
+
+} // namespace
+
+SCENARIO("A load report on its way between routers")
+{
+    auto report = reportOf(router("front-1", "zone-0"), 7, 42, 3);
+    report.isLeaving = true;
+    report.scope = ReportScope::Zone;
+    report.store = StoreKnowledge { 99, Milliseconds(120) };
+    report.paces = { { 42, 305 } };
+    report.broken = { 43 };
+    report.chains = { { 42, 1234 } };
+    report.suspicions = { { Fingerprint(77), "engine-1/5" } };
+    const auto bytes = encodeLoadReport(report);
+
+    // Guards against a field that one side writes and the other drops, such as a suspicion of a
+    // request that crashes servers.
+    WHEN("it is decoded")
+    {
+        const auto decoded = handleErrors([&] { return decode(bytes); },
+                                          [](const Error & /*error*/) { return LoadReport(); });
+        REQUIRE(decoded.router == report.router);
+        REQUIRE(decoded.sequence == 7);
+        REQUIRE(decoded.isLeaving);
+        REQUIRE(decoded.scope == ReportScope::Zone);
+        REQUIRE(decoded.store.value().revision == 99);
+        REQUIRE(decoded.store.value().age == Milliseconds(120));
+        REQUIRE(decoded.paces == report.paces);
+        REQUIRE(decoded.broken == report.broken);
+        REQUIRE(decoded.chains == report.chains);
+        REQUIRE(decoded.suspicions.at(0).fingerprint == Fingerprint(77));
+        REQUIRE(decoded.suspicions.at(0).crash == "engine-1/5");
+        REQUIRE(decoded.loads.at(0).first == 42);
+        REQUIRE(decoded.loads.at(0).second.requests == 3);
+        REQUIRE(decoded.loads.at(0).second.sensitivity == Approx(0.25));
+    }
+    WHEN("it arrives cut")
+    {
+        for (std::size_t size = 0; size < bytes.size(); ++size)
+            REQUIRE_FALSE(isDecoded(bytes.substr(0, size)));
+    }
+    // Guards against a datagram of anybody that ends the process.
+    rc::prop("changed bytes are refused or decoded, and never fail otherwise", [&] {
+        auto changed = bytes;
+        const auto count = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < count; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, changed.size());
+            changed[at] = *rc::gen::arbitrary<char>();
+        }
+        isDecoded(changed);
+    });
+    rc::prop("any bytes are refused or decoded, and never fail otherwise",
+             [](const std::string &any) { isDecoded(any); });
+}
+
+SCENARIO("Loads that other routers report")
+{
+    Instant now(std::chrono::seconds(50));
+    ServerDirectory directory;
+    ServerEntry entry;
+    entry.name = BackendServerName("engine-1");
+    entry.pool = PoolName("assistant");
+    entry.slots = 12;
+    entry.sequence = 1;
+    REQUIRE(directory.update(entry, now));
+    const auto server = directory.find(entry.name);
+    PeerLoads peers(directory, AvailabilityZone("zone-0"));
+    const auto near = router("front-1", "zone-0");
+
+    peers.take(reportOf(near, 5, server->hash, 3), now);
+    REQUIRE(server->others.requests == 3);
+
+    // Guards against loads that add up or go back when datagrams overtake each other.
+    WHEN("a later report and then a late older one arrive")
+    {
+        peers.take(reportOf(near, 6, server->hash, 2), now);
+        peers.take(reportOf(near, 4, server->hash, 9), now);
+        REQUIRE(server->others.requests == 2);
+    }
+    // Guards against a router that starts again and is not heard, as its numbers begin anew.
+    WHEN("the router starts again")
+    {
+        now += std::chrono::seconds(3);
+        peers.take(reportOf(near, 1, server->hash, 1), now);
+        REQUIRE(server->others.requests == 1);
+    }
+    // Guards against servers that seem full of requests of a router that has died.
+    WHEN("the router is silent")
+    {
+        peers.refresh(now + std::chrono::seconds(3));
+        REQUIRE(server->others.requests == 0);
+    }
+    WHEN("the router leaves")
+    {
+        auto last = reportOf(near, 6, server->hash, 3);
+        last.isLeaving = true;
+        peers.take(last, now);
+        REQUIRE(server->others.requests == 0);
+    }
+    WHEN("a server of its report is not known")
+    {
+        peers.take(reportOf(near, 6, server->hash + 1, 3), now);
+        REQUIRE(server->others.requests == 0);
+    }
+    // Guards against messages that grow with the square of a large fleet.
+    WHEN("the fleet is large")
+    {
+        for (int i = 2; i <= 40; ++i)
+            peers.addRouter(router("front-" + std::to_string(i), i % 2 == 0 ? "zone-0" : "zone-1"));
+        REQUIRE_FALSE(peers.isDirect());
+        REQUIRE(peers.nearRouters().size() == 21);
+        REQUIRE(peers.farRouters().size() == 19);
+
+        THEN("the first router of a zone that is heard speaks for it")
+        {
+            REQUIRE(peers.isRepresentative(RouterName("front-0"), now));
+            REQUIRE_FALSE(peers.isRepresentative(RouterName("front-3"), now));
+            REQUIRE(peers.isRepresentative(RouterName("front-3"), now + std::chrono::seconds(3)));
+        }
+        THEN("sums of other zones count beside the reports of this one")
+        {
+            auto sum = reportOf(router("front-3", "zone-1"), 1, server->hash, 7);
+            sum.scope = ReportScope::Zone;
+            peers.take(sum, now);
+            REQUIRE(server->others.requests == 10);
+            REQUIRE(peers.zoneLoads(now).at(server->hash).requests == 3);
+        }
+    }
+}
--- a/tests/platform/testforwarding.cpp
+++ b/tests/platform/testforwarding.cpp
@@ -260,6 +260,30 @@
             REQUIRE(contains(client, "Retry-After: "));
         }
     }
+    // Guards against one request that runs at two servers at once.
+    WHEN("the server is silent and the request may run again")
+    {
+        std::shared_ptr<HttpExchange> held;
+        std::optional<bool> wasClosed;
+        first.handler = [&](const auto &exchange) { held = exchange; };
+        second.handler = [&](const auto &exchange) {
+            // The close is on its way when the second attempt arrives.
+            runner.loop().post([&, exchange] {
+                wasClosed = held->isClosed();
+                exchange->reply(200, second.sealedHeaders(*exchange), "done");
+            });
+        };
+        client.send(Deployment::request("safe"));
+        REQUIRE(runner.runUntil([&] { return held != nullptr; }));
+        deployment.enter(second);
+        deployment.settle();
+        THEN("the first attempt's connection is closed before the second one runs")
+        {
+            REQUIRE(runner.runUntil([&] { return isAnswered(client, "200"); }));
+            REQUIRE(wasClosed == true);
+            REQUIRE(contains(client, "seal-of-second"));
+        }
+    }
     // Guards against a promise that no server has made.
     WHEN("the server answers 503 without that word")
     {
