--- a/src/gateway/silencelimits.cpp
+++ b/src/gateway/silencelimits.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-// A server that does not even acknowledge bytes shows much earlier.
+// Shorter silence is usual for streams that wait at a server; one that does not even acknowledge
+// bytes shows by that within a second.
 constexpr Duration kMinStreamSilence = std::chrono::milliseconds(1700);
+// A usual server may need this long for a safe request.
 constexpr Duration kMinSafeSilence = std::chrono::milliseconds(200);
 // Callers give a stream up after four times its objective or eight times its longest pause.
 constexpr int kSilentTargets = 2;
