Tests: Give the replay one clock and drop what nothing reads

A request that waited in the replay judged its time by the last placement of any router instead of the clock, so the clock is now a member that only the loop moves. The engine of a choice was found by building the names of all lives of all engines; a map holds them. isRefused, isPreempted and rereadTokens were set and read by nothing. Four scenarios of forwarding began with the same three steps, now Deployment::serve(), with the same check. The account of logs takes the names of outcomes from their table.

--- a/tests/gateway/replay/engineemulator.cpp
+++ b/tests/gateway/replay/engineemulator.cpp
@@ -32,7 +32,7 @@
         return false;
     if (running_.empty() && waiting_.empty())
         now_ = std::max(now_, now);
-    const Job job { request, ++submitted_, 0, false };
+    const Job job { request, ++submitted_, 0 };
     waiting_.insert(std::upper_bound(waiting_.begin(), waiting_.end(), job, isBefore), job);
     return true;
 }
@@ -94,9 +94,8 @@
 
 void EngineEmulator::preempt(std::size_t index)
 {
-    auto job = running_[index];
+    const auto job = running_[index];
     running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(index));
-    job.isPreempted = true;
     ++preemptions_;
     waiting_.insert(std::upper_bound(waiting_.begin(), waiting_.end(), job, isBefore), job);
 }
@@ -120,8 +119,6 @@
         const auto &work = job.request->work;
         const auto cached = cachedTokens(work);
         job.unread = work.promptTokens - cached + job.request->generated;
-        if (job.isPreempted)
-            rereadTokens_ += job.unread;
         running_.push_back(std::move(job));
     }
 }
--- a/tests/gateway/replay/engineemulator.h
+++ b/tests/gateway/replay/engineemulator.h
@@ -28,8 +28,7 @@
     Duration longestPause {};
     std::uint32_t generated = 0; //!< Output tokens so far.
     bool isDone = false;
-    bool isRefused = false; //!< Turned away before it ran.
-    bool isCut = false;     //!< Its engine crashed.
+    bool isCut = false; //!< Its engine crashed.
 
     bool isInTarget() const;
 };
@@ -75,7 +74,6 @@
     std::vector<RequestPointer> takeEnded();
 
     std::uint64_t preemptions() const { return preemptions_; }
-    std::uint64_t rereadTokens() const { return rereadTokens_; }
 
 private:
     struct Job
@@ -83,7 +81,6 @@
         RequestPointer request;
         std::uint64_t order = 0; //!< Of its submission.
         std::uint32_t unread = 0;
-        bool isPreempted = false;
     };
 
     static bool isBefore(const Job &left, const Job &right);
@@ -107,7 +104,6 @@
     Instant now_ {};
     std::uint64_t submitted_ = 0;
     std::uint64_t preemptions_ = 0;
-    std::uint64_t rereadTokens_ = 0;
     bool isUp_ = true;
 };
 
--- a/tests/gateway/replay/replay.cpp
+++ b/tests/gateway/replay/replay.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <random>
+#include <unordered_map>
 
 namespace crocusport::replay {
 
@@ -116,28 +117,28 @@
         pool_.engine = EngineProfile { static_cast<std::uint32_t>(limits_.slots),
                                        limits_.memoryTokens, limits_.tokensPerEvent };
         for (std::size_t engine = 0; engine < pattern.engines; ++engine)
-            enter(engine, Instant());
+            enter(engine);
     }
 
     ReplayOutcome run()
     {
         std::size_t arrived = 0;
         const Instant end(pattern_.length + kDrainTime);
-        for (Instant now {}; now < end; now += kTick) {
-            trouble(now);
-            for (; arrived < arrivals_.size() && arrivals_[arrived]->arrival <= now; ++arrived)
-                arrive(arrivals_[arrived], arrived % routers_.size(), now);
+        for (; now_ < end; now_ += kTick) {
+            trouble();
+            for (; arrived < arrivals_.size() && arrivals_[arrived]->arrival <= now_; ++arrived)
+                arrive(arrivals_[arrived], arrived % routers_.size());
             for (auto &engine : engines_) {
-                engine.advance(now);
+                engine.advance(now_);
                 for (const auto &request : engine.takeEnded())
-                    finish(request, now);
+                    finish(request);
             }
             noteFirstEvents();
             for (const auto &router : routers_)
                 router->waiting.startAll();
-            if (now >= reportAt_) {
+            if (now_ >= reportAt_) {
                 report();
-                reportAt_ = now + pattern_.reportInterval;
+                reportAt_ = now_ + pattern_.reportInterval;
             }
         }
         return outcome();
@@ -149,7 +150,7 @@
         return BackendServerName("engine-" + std::to_string(engine) + '-' + std::to_string(life));
     }
 
-    void enter(std::size_t engine, Instant now)
+    void enter(std::size_t engine)
     {
         ServerEntry entry;
         entry.name = nameOf(engine, lives_[engine]);
@@ -160,65 +161,59 @@
         entry.start = StartNumber(static_cast<std::uint64_t>(lives_[engine]) + 1);
         entry.sequence = 1;
         for (const auto &router : routers_)
-            router->directory.update(entry, now);
+            router->directory.update(entry, now_);
+        engineByName_.emplace(entry.name, engine);
     }
 
-    void trouble(Instant now)
+    void trouble()
     {
         if (pattern_.crashingEngines == 0)
             return;
         const Instant crash(pattern_.crashAt);
-        const auto isAt = [&](Instant time) { return now <= time && time < now + kTick; };
+        const auto isAt = [&](Instant time) { return now_ <= time && time < now_ + kTick; };
         for (std::size_t engine = 0; engine < pattern_.crashingEngines; ++engine) {
             if (isAt(crash))
                 engines_[engine].crash();
             if (isAt(crash + pattern_.crashFor)) {
-                engines_[engine].restart(now);
+                engines_[engine].restart(now_);
                 ++lives_[engine];
-                enter(engine, now);
+                enter(engine);
             }
             if (isAt(crash + pattern_.lapseAfter)) {
                 for (const auto &router : routers_)
-                    router->directory.remove(nameOf(engine, 0), now);
+                    router->directory.remove(nameOf(engine, 0), now_);
             }
         }
     }
 
-    void arrive(const RequestPointer &request, std::size_t router, Instant now)
+    void arrive(const RequestPointer &request, std::size_t router)
     {
-        if (place(request, router, now, 0))
+        if (place(request, router, 0))
             return;
         const auto latest =
-            now + std::chrono::duration_cast<Duration>(request->target * kWaitShare);
-        routers_[router]->waiting.add(kPool, request->urgency, latest,
-                                      [this, request, router, latest] {
-                                          if (now_ > latest) {
-                                              request->isRefused = true;
-                                              return true;
-                                          }
-                                          return place(request, router, now_, 0);
-                                      });
+            now_ + std::chrono::duration_cast<Duration>(request->target * kWaitShare);
+        // A request that has waited too long is turned away, and never runs.
+        routers_[router]->waiting.add(
+            kPool, request->urgency, latest,
+            [this, request, router, latest] { return now_ > latest || place(request, router, 0); });
     }
 
-    //! Sends the request to an engine; false when the router knows none with room.
-    bool place(const RequestPointer &request, std::size_t router, Instant now, int rejections)
+    //! Sends the request to an engine or turns it away; false when the router knows none with room.
+    bool place(const RequestPointer &request, std::size_t router, int rejections)
     {
-        now_ = now;
-        if (rejections == kMaxRejections) {
-            request->isRefused = true;
+        if (rejections == kMaxRejections)
             return true;
-        }
         auto &own = *routers_[router];
         Sent sent;
         sent.router = router;
-        sent.at = now;
+        sent.at = now_;
         if (placement_ == Placement::Selector) {
-            const auto choice = own.selector.choose(kPool, &pool_, request->work, {}, now);
+            const auto choice = own.selector.choose(kPool, &pool_, request->work, {}, now_);
             if (!choice.server)
                 return false;
             sent.server = choice.server;
             sent.load = choice.added;
-            sent.engine = engineOf(*choice.server);
+            sent.engine = engineByName_.at(choice.server->entry.name);
         } else if (placement_ == Placement::RoundRobin) {
             sent.engine = own.next++ % engines_.size();
         } else {
@@ -228,44 +223,33 @@
         }
         const bool isMisdirected =
             sent.server && sent.server->entry.name != nameOf(sent.engine, lives_[sent.engine]);
-        if (isMisdirected || !engines_[sent.engine].submit(request, now)) {
+        if (isMisdirected || !engines_[sent.engine].submit(request, now_)) {
             ++rejected_;
-            noteRejection(sent, isMisdirected, now);
-            if (!place(request, router, now, rejections + 1))
-                request->isRefused = true;
+            noteRejection(sent, isMisdirected);
+            // A rejected request does not wait for room.
+            place(request, router, rejections + 1);
             return true;
         }
         ++own.outstanding[sent.engine];
         if (sent.server) {
             sent.server->own += sent.load;
             for (const auto chain : request->work.chains)
-                own.prefixes.note(sent.server->hash, chain, now);
+                own.prefixes.note(sent.server->hash, chain, now_);
         }
         sent_[request] = sent;
         return true;
     }
 
-    void noteRejection(const Sent &sent, bool isMisdirected, Instant now)
+    void noteRejection(const Sent &sent, bool isMisdirected)
     {
         if (!sent.server)
             return;
         if (!engines_[sent.engine].isUp())
-            sent.server->health.noteUnreachable(now);
+            sent.server->health.noteUnreachable(now_);
         else if (isMisdirected)
-            sent.server->health.noteMisdirected(now);
+            sent.server->health.noteMisdirected(now_);
         else
-            sent.server->health.noteRefusal(now);
-    }
-
-    std::size_t engineOf(const KnownServer &server) const
-    {
-        for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
-            for (int life = 0; life <= lives_[engine]; ++life) {
-                if (server.entry.name == nameOf(engine, life))
-                    return engine;
-            }
-        }
-        return engines_.size();
+            sent.server->health.noteRefusal(now_);
     }
 
     void noteFirstEvents()
@@ -281,7 +265,7 @@
         }
     }
 
-    void finish(const RequestPointer &request, Instant now)
+    void finish(const RequestPointer &request)
     {
         const auto found = sent_.find(request);
         if (found == sent_.end())
@@ -291,7 +275,7 @@
         if (sent.server) {
             sent.server->own -= sent.load;
             if (request->isDone)
-                sent.server->noteRun(now - sent.at);
+                sent.server->noteRun(now_ - sent.at);
         }
         sent_.erase(found);
     }
@@ -332,7 +316,8 @@
     EngineEmulator::Limits limits_;
     std::vector<RequestPointer> arrivals_;
     std::vector<EngineEmulator> engines_;
-    std::vector<int> lives_;
+    std::vector<int> lives_; //!< Starts of each engine after the first.
+    std::unordered_map<BackendServerName, std::size_t> engineByName_;
     std::vector<std::unique_ptr<Router>> routers_;
     PoolEntry pool_;
     std::map<RequestPointer, Sent> sent_;
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -132,6 +132,13 @@
     return runner.runUntil([this] { return gateway->isReady(); });
 }
 
+bool Deployment::serve()
+{
+    configure(1);
+    enter(first);
+    return waitReady();
+}
+
 std::string Deployment::request(const std::string &kind, const std::string &extra,
                                 const std::string &key)
 {
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -53,6 +53,8 @@
     //! Lets the gateway read what the store holds.
     void settle();
     bool waitReady();
+    //! Configures the gateway, enters the first server and waits until the gateway is ready.
+    bool serve();
     //! A request to the route of \a kind ("safe", "unsafe", "stream", "fragile").
     static std::string request(const std::string &kind, const std::string &extra = {},
                                const std::string &key = "key-1");
--- a/tests/platform/testforwarding.cpp
+++ b/tests/platform/testforwarding.cpp
@@ -145,9 +145,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner, Milliseconds(1200));
-    deployment.configure(1);
-    deployment.enter(deployment.first);
-    REQUIRE(deployment.waitReady());
+    REQUIRE(deployment.serve());
     const auto mode = GENERATE(StandInStore::Mode::Refusing, StandInStore::Mode::Silent);
     deployment.store.setMode(mode);
 
@@ -190,9 +188,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner);
-    deployment.configure(1);
-    deployment.enter(deployment.first);
-    REQUIRE(deployment.waitReady());
+    REQUIRE(deployment.serve());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     auto &first = deployment.first;
     auto &second = deployment.second;
@@ -345,9 +341,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner);
-    deployment.configure(1);
-    deployment.enter(deployment.first);
-    REQUIRE(deployment.waitReady());
+    REQUIRE(deployment.serve());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     auto &first = deployment.first;
     auto &second = deployment.second;
@@ -419,9 +413,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner);
-    deployment.configure(1);
-    deployment.enter(deployment.first);
-    REQUIRE(deployment.waitReady());
+    REQUIRE(deployment.serve());
     std::shared_ptr<HttpExchange> stream;
     deployment.first.handler = [&](const auto &exchange) {
         stream = exchange;
--- a/tools/account/logaccount.cpp
+++ b/tools/account/logaccount.cpp
@@ -1,5 +1,6 @@
 #include "account/logaccount.h"
 
+#include "crocusport/state/outcome.h"
 #include "crocusport/state/resultcode.h"
 
 #include <algorithm>
@@ -81,9 +82,9 @@
     ++row.requests;
     const auto outcome = textOf(fields, "outcome");
     const auto late = textOf(fields, "late");
-    if (outcome == "not_run")
+    if (outcome == outcomeName(Outcome::NotRun))
         ++row.notRun;
-    else if (outcome != "completed")
+    else if (outcome != outcomeName(Outcome::Completed))
         ++row.failed;
     else if (late == "first_event")
         ++row.lateFirst;
