Transport: Bound unparsed bytes, watch progress, and lose nothing at a stop

Causes: a chunk header or a trailer without end was collected without bound; a byte now and then counted as progress of a stream; a listener that closed reset connections which the kernel had not handed over, and idle connections were closed over requests that had just arrived; an exception in any callback of the loop ended the process. Change: bytes that wait to be parsed and interim responses are limited; a call can take its progress from its user; a request can be withdrawn while its connection is made; a stop accepts what waits in the backlog, looks into sockets before it closes them and gives new connections a second for their first request; callbacks are guarded, counted and logged. Tests: "Bytes without end" (nine cases), "Progress is what the user of a call says it is", "A stop in the same instant in which requests arrive", "A request that is not wanted any more when its connection is made".

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -20,6 +20,12 @@
 class ConnectionPool;
 class EventLoop;
 
+//! What counts as progress of a response.
+enum class ResponseProgress {
+    Bytes,   //!< Any byte.
+    Noticed, //!< Its head, and what HttpCall::noteProgress() says.
+};
+
 //! Which connection a call uses.
 enum class ConnectionUse { Pooled, Fresh };
 
@@ -36,8 +42,9 @@
     std::string body;
     ConnectionUse connection = ConnectionUse::Pooled;
     Duration connectTimeout = std::chrono::seconds(1);
-    Duration progressTimeout = std::chrono::seconds(30); //!< Longest time without a byte moved.
-    std::size_t maxResponseBytes = 64UL * 1024 * 1024;   //!< Of the whole response body.
+    Duration progressTimeout = std::chrono::seconds(30); //!< Longest time without progress.
+    ResponseProgress progress = ResponseProgress::Bytes;
+    std::size_t maxResponseBytes = 64UL * 1024 * 1024; //!< Of the whole response body.
     /*!
         Whether a body without length is complete when its connection is closed without a reset.
         A server that crashes ends it in the same way (RFC 9112 section 8).
@@ -54,6 +61,7 @@
     ProgressTimeout,
     Malformed, //!< Also a response head over 64 KiB.
     TooLarge,
+    Withdrawn, //!< Nothing sent: onReady did not want the request sent any more.
 };
 
 //! Returns a stable name for logs. Safe from any thread.
@@ -70,10 +78,12 @@
 //! Functions called as a response arrives. onEnd is called exactly once unless cancelled.
 struct HttpCallHandlers
 {
+    //! Called before the first byte is sent on a new connection; returns whether to send.
+    std::function<bool()> onReady;
     std::function<void(int status, const HttpHeaders &headers)> onHead;
     std::function<void(std::string_view data)> onBody;
     /*!
-        Called when no byte has moved for the call's progressTimeout. Returns whether to wait as
+        Called when there was no progress for the call's progressTimeout. Returns whether to wait as
         long again; without the function, the call ends.
     */
     std::function<bool()> onSilence;
@@ -94,6 +104,10 @@
     HttpCall &operator=(const HttpCall &) = delete;
 
     bool isEnded() const;
+    //! Whether the call is the first one on its connection.
+    bool isOnNewConnection() const;
+    //! The response has made progress; from now on silence of \a limit is too long.
+    void noteProgress(Duration limit);
 
 private:
     friend class HttpClient;
--- a/src/daemon/responsehead.cpp
+++ b/src/daemon/responsehead.cpp
@@ -47,6 +47,8 @@
         return end.isRequestSent ? BackendCallEnd::Lost : BackendCallEnd::NotRun;
     case HttpFailure::Malformed:
         return BackendCallEnd::Malformed;
+    case HttpFailure::Withdrawn:
+        return BackendCallEnd::NotRun;
     case HttpFailure::TooLarge:
         return BackendCallEnd::TooLarge;
     default:
--- a/src/transport/callstate.cpp
+++ b/src/transport/callstate.cpp
@@ -16,6 +16,7 @@
 void CallState::begin(ClientConnection &connection, bool isConnected)
 {
     connection_ = &connection;
+    isOnNewConnection_ = !isConnected;
     if (isConnected)
         markConnected();
     else
@@ -29,6 +30,13 @@
     timer_.startOnce(request_.progressTimeout);
 }
 
+bool CallState::confirmSending()
+{
+    if (handlers_.onReady && !handlers_.onReady())
+        end(HttpFailure::Withdrawn);
+    return !isEnded_;
+}
+
 void CallState::markSent()
 {
     isSent_ = true;
@@ -38,7 +46,18 @@
 void CallState::markReceived()
 {
     isReceiving_ = true;
+    if (request_.progress == ResponseProgress::Bytes)
+        lastMoved_ = monotonicNow();
+}
+
+void CallState::noteProgress(Duration limit)
+{
+    if (isEnded_)
+        return;
     lastMoved_ = monotonicNow();
+    // The timer runs until the old limit; it must not end later than a shorter new one asks.
+    if (limit < std::exchange(request_.progressTimeout, limit))
+        timer_.startOnce(limit);
 }
 
 // The timer is not restarted with each byte: it looks at the time of the last one when it fires.
@@ -79,6 +98,7 @@
 {
     if (isEnded_)
         return;
+    lastMoved_ = monotonicNow();
     status_ = status;
     endsWithClose_ = endsWithClose;
     callHandler(handlers_.onHead, status, headers);
--- a/src/transport/callstate.h
+++ b/src/transport/callstate.h
@@ -25,12 +25,17 @@
 
     HttpCallRequest &request() { return request_; }
     bool isEnded() const { return isEnded_; }
+    bool isOnNewConnection() const { return isOnNewConnection_; }
 
     //! Starts the time limit of the connection, or of progress when it \a isConnected.
     void begin(ClientConnection &connection, bool isConnected);
     void markConnected();
+    //! Whether the request may be sent on the new connection; ends the call otherwise.
+    bool confirmSending();
     void markSent();
     void markReceived();
+    //! The user of the call has seen progress; from now on silence of \a limit is too long.
+    void noteProgress(Duration limit);
     //! Bytes of the request have left.
     void markMoved() { lastMoved_ = monotonicNow(); }
 
@@ -66,6 +71,7 @@
     std::size_t bodyBytes_ = 0;
     int status_ = 0;
     bool isConnected_ = false;
+    bool isOnNewConnection_ = false;
     bool isSent_ = false;
     bool isReceiving_ = false;
     bool endsWithClose_ = false;
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "clientconnection.h"
 
+#include "crocusport/transport/callbackguard.h"
 #include "crocusport/transport/eventloop.h"
 
 #include "callstate.h"
@@ -25,6 +26,10 @@
 namespace {
 
 constexpr std::uint32_t kMaxResponseHeadBytes = 64U * 1024;
+// Heads, chunk headers and trailers wait unparsed until they are whole; none may grow without end.
+constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeadBytes;
+// Interim responses before the final one; servers of these formats send at most one.
+constexpr int kMaxInterimResponses = 8;
 // Probes without an answer after which the kernel closes a connection.
 constexpr int kProbeCount = 2;
 // A server's idle limit is passed when its last response has been under way for a moment.
@@ -96,6 +101,7 @@
         CallState::endLater(current, HttpFailure::ConnectFailed);
         return;
     }
+    interimResponses_ = 0;
     startParser();
     if (isConnected_)
         writeRequest();
@@ -170,7 +176,9 @@
 
 void ClientConnection::onRead(bufferevent * /*bufferevent*/, void *self)
 {
-    static_cast<ClientConnection *>(self)->readResponse();
+    auto *const connection = static_cast<ClientConnection *>(self);
+    if (!guardCallback("response", [&] { connection->readResponse(); }))
+        connection->endAfterFailure();
 }
 
 void ClientConnection::readResponse()
@@ -204,7 +212,12 @@
         }
         if (!hadHead && parser_->is_header_done()) {
             if (parser_->get().result_int() < kOk) {
-                startParser(); // An interim response (RFC 9110 section 15.2).
+                // An interim response (RFC 9110 section 15.2).
+                if (++interimResponses_ > kMaxInterimResponses) {
+                    call.end(HttpFailure::Malformed);
+                    return false;
+                }
+                startParser();
                 continue;
             }
             if (!acceptHead(call))
@@ -221,6 +234,8 @@
         if (isIncomplete || used == 0)
             break;
     }
+    if (!call.isEnded() && evbuffer_get_length(input) > kMaxUnparsedBytes)
+        call.end(HttpFailure::Malformed);
     return false;
 }
 
@@ -263,15 +278,34 @@
 void ClientConnection::onEvent(bufferevent * /*bufferevent*/, short what, void *self)
 {
     auto *const connection = static_cast<ClientConnection *>(self);
-    if ((what & BEV_EVENT_CONNECTED) == 0) {
-        connection->onClosed((what & BEV_EVENT_EOF) != 0);
+    const bool isConnected = (what & BEV_EVENT_CONNECTED) != 0;
+    const bool isOrderly = (what & BEV_EVENT_EOF) != 0;
+    if (!guardCallback("connection", [&] {
+            if (isConnected)
+                connection->onConnected();
+            else
+                connection->onClosed(isOrderly);
+        }))
+        connection->endAfterFailure();
+}
+
+void ClientConnection::onConnected()
+{
+    isConnected_ = true;
+    const auto call = call_;
+    if (!call || call->isEnded())
         return;
-    }
-    connection->isConnected_ = true;
-    if (const auto call = connection->call_; call && !call->isEnded()) {
-        call->markConnected();
-        connection->writeRequest();
-    }
+    call->markConnected();
+    if (call->confirmSending())
+        writeRequest();
+}
+
+void ClientConnection::endAfterFailure()
+{
+    guardCallback("end after a failure", [this] {
+        if (const auto call = call_; call && !call->isEnded())
+            call->end(HttpFailure::Malformed);
+    });
 }
 
 void ClientConnection::onClosed(bool isOrderly)
--- a/src/transport/clientconnection.h
+++ b/src/transport/clientconnection.h
@@ -60,7 +60,10 @@
     //! Parses what has arrived. Returns whether the response is complete.
     bool parse(CallState &call);
     bool acceptHead(CallState &call);
+    void onConnected();
     void onClosed(bool isOrderly);
+    //! A callback has failed half way; the call cannot go on.
+    void endAfterFailure();
     void finish(CallState &call);
 
     ConnectionPool &pool_;
@@ -70,6 +73,7 @@
     std::optional<Parser> parser_; //!< Of the current response.
     Instant expiry_ {};
     Duration maxIdle_;         //!< What the server allows, if it says so.
+    int interimResponses_ = 0; //!< Before the current response.
     bool isPooled_ = false;    //!< The current call allows reuse.
     bool isKeptAlive_ = false; //!< The current response allows another request.
     bool isConnected_ = false;
--- a/src/transport/datagramsocket.cpp
+++ b/src/transport/datagramsocket.cpp
@@ -1,5 +1,6 @@
 #include "crocusport/transport/datagramsocket.h"
 
+#include "crocusport/transport/callbackguard.h"
 #include "crocusport/transport/eventloop.h"
 
 #include "socketaddresses.h"
@@ -76,7 +77,9 @@
         const auto size = recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (size < 0)
             return;
-        receiver->onDatagram_({ buffer.data(), static_cast<std::size_t>(size) });
+        guardCallback("datagram", [&] {
+            receiver->onDatagram_({ buffer.data(), static_cast<std::size_t>(size) });
+        });
     }
 }
 
--- a/src/transport/eventloop.cpp
+++ b/src/transport/eventloop.cpp
@@ -1,5 +1,7 @@
 #include "crocusport/transport/eventloop.h"
 
+#include "crocusport/transport/callbackguard.h"
+
 #include <event2/event.h>
 
 #include <csignal>
@@ -18,14 +20,14 @@
 
 void onSignalEvent(evutil_socket_t /*signalNumber*/, short /*what*/, void *argument)
 {
-    static_cast<SignalHandler *>(argument)->handler();
+    guardCallback("signal", [&] { static_cast<SignalHandler *>(argument)->handler(); });
 }
 
 void onPostedEvent(evutil_socket_t /*unused*/, short /*what*/, void *argument)
 {
     const std::unique_ptr<std::function<void()>> task(
         static_cast<std::function<void()> *>(argument));
-    (*task)();
+    guardCallback("task", [&] { (*task)(); });
 }
 
 } // namespace
--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -25,6 +25,8 @@
         return "Malformed";
     case HttpFailure::TooLarge:
         return "TooLarge";
+    case HttpFailure::Withdrawn:
+        return "Withdrawn";
     }
     return "Unknown";
 }
@@ -41,6 +43,16 @@
     return state_->isEnded();
 }
 
+bool HttpCall::isOnNewConnection() const
+{
+    return state_->isOnNewConnection();
+}
+
+void HttpCall::noteProgress(Duration limit)
+{
+    state_->noteProgress(limit);
+}
+
 HttpClient::HttpClient(EventLoop &loop, const Options &options)
     : pool_(std::make_unique<ConnectionPool>(loop, options))
 { }
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -7,6 +7,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -91,15 +92,28 @@
     isStopping = true;
     isClosing = true;
     resumeTimer.stop();
-    if (listener)
+    if (listener) {
+        acceptPending();
         evconnlistener_free(std::exchange(listener, nullptr));
-    std::vector<ServerConnection *> idle;
-    for (const auto &[key, connection] : connections) {
-        if (connection->isIdle())
-            idle.push_back(key);
     }
-    for (auto *const connection : idle)
-        connection->close();
+    std::vector<ServerConnection *> open;
+    open.reserve(connections.size());
+    for (const auto &[key, connection] : connections)
+        open.push_back(key);
+    for (auto *const connection : open)
+        connection->closeWhenIdle();
+}
+
+// The kernel resets connections that nobody has accepted when their listener closes.
+void HttpServer::Private::acceptPending()
+{
+    while (connections.size() < limits.maxConnections) {
+        const auto socket = accept4(evconnlistener_get_fd(listener), nullptr, nullptr,
+                                    SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0)
+            return;
+        onAccepted(listener, socket, nullptr, 0, this);
+    }
 }
 
 HttpServer::HttpServer() = default;
--- a/src/transport/httpserver_p.h
+++ b/src/transport/httpserver_p.h
@@ -24,6 +24,7 @@
 
     Result<void> listen(const SocketAddress &requested);
     void stopAccepting();
+    void acceptPending();
     //! Destroys \a connection from the loop, since its functions may be running.
     void removeConnection(ServerConnection &connection);
 
--- a/src/transport/serverconnection.cpp
+++ b/src/transport/serverconnection.cpp
@@ -6,6 +6,7 @@
 #include "httptext.h"
 #include "timevalue.h"
 
+#include "crocusport/transport/callbackguard.h"
 #include "crocusport/transport/eventloop.h"
 
 #include <event2/buffer.h>
@@ -28,6 +29,9 @@
 // is reset, and the caller would lose the answer.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 
+// A caller that has just connected sends its request within this time.
+constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
+
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
@@ -51,7 +55,7 @@
 ServerConnection::ServerConnection(HttpServer::Private &server, evutil_socket_t socket)
     : server_(server),
       bufferevent_(bufferevent_socket_new(server.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
-      timer_(server.loop, [this] { onTimer(); })
+      timer_(server.loop, [this] { onTimer(); }), acceptedAt_(monotonicNow())
 {
     bufferevent_setcb(bufferevent_, &ServerConnection::onRead, &ServerConnection::onWritten,
                       &ServerConnection::onEvent, this);
@@ -80,11 +84,29 @@
 
 bool ServerConnection::isIdle() const
 {
-    return !isBusy_ && !isReading_ && !isLingering_
-        && evbuffer_get_length(bufferevent_get_input(bufferevent_)) == 0
+    return !isBusy_ && !isReading_ && !isLingering_ && !hasUnreadBytes()
         && evbuffer_get_length(output()) == 0;
 }
 
+bool ServerConnection::hasUnreadBytes() const
+{
+    char first = 0;
+    return evbuffer_get_length(bufferevent_get_input(bufferevent_)) > 0
+        || recv(bufferevent_getfd(bufferevent_), &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void ServerConnection::closeWhenIdle()
+{
+    if (!isIdle())
+        return;
+    const auto firstRequestDue = acceptedAt_ + kFirstRequestTime;
+    const auto now = monotonicNow();
+    if (arrival_ == Instant() && now < firstRequestDue)
+        timer_.startOnce(firstRequestDue - now);
+    else
+        close();
+}
+
 bool ServerConnection::hasUnsentAnswer() const
 {
     return !isBusy_ && evbuffer_get_length(output()) > 0;
@@ -92,7 +114,9 @@
 
 void ServerConnection::onRead(bufferevent * /*bufferevent*/, void *self)
 {
-    static_cast<ServerConnection *>(self)->readRequest();
+    auto *const connection = static_cast<ServerConnection *>(self);
+    if (!guardCallback("request", [&] { connection->readRequest(); }))
+        connection->closeAfterFailure();
 }
 
 void ServerConnection::readRequest()
@@ -261,8 +285,10 @@
 void ServerConnection::onWritten(bufferevent * /*bufferevent*/, void *self)
 {
     auto *const connection = static_cast<ServerConnection *>(self);
-    if (connection->isClosingAfterWrite_)
-        connection->startLingering();
+    guardCallback("written answer", [&] {
+        if (connection->isClosingAfterWrite_)
+            connection->startLingering();
+    });
 }
 
 void ServerConnection::startLingering()
@@ -280,7 +306,14 @@
 
 void ServerConnection::onEvent(bufferevent * /*bufferevent*/, short /*what*/, void *self)
 {
-    static_cast<ServerConnection *>(self)->close();
+    guardCallback("caller's close", [&] { static_cast<ServerConnection *>(self)->close(); });
+}
+
+// The exchange may have been destroyed on the way, and has then answered with 500.
+void ServerConnection::closeAfterFailure()
+{
+    if (isBusy_ || isReading_)
+        guardCallback("close after a failure", [this] { close(); });
 }
 
 void ServerConnection::onTimer()
--- a/src/transport/serverconnection.h
+++ b/src/transport/serverconnection.h
@@ -37,8 +37,13 @@
     //! The exchange, which is being destroyed, is forgotten.
     void forgetExchange() { exchange_ = nullptr; }
     evbuffer *output() const;
-    //! Whether no request is being received or answered.
+    //! Whether no request is being received or answered, and none waits in the socket.
     bool isIdle() const;
+    /*!
+        Closes the connection if it is idle. One that was accepted a moment ago stays open for its
+        first request, for a second at most.
+    */
+    void closeWhenIdle();
     //! Whether the exchange has ended and bytes of its answer have not been sent.
     bool hasUnsentAnswer() const;
     //! The answer of the exchange is complete; \a keepAlive allows another request.
@@ -55,6 +60,7 @@
     static void onWritten(bufferevent *bufferevent, void *self);
     static void onEvent(bufferevent *bufferevent, short what, void *self);
 
+    bool hasUnreadBytes() const;
     void readRequest();
     bool beginRequest();
     //! Returns whether a request is complete.
@@ -62,6 +68,8 @@
     bool checkHead();
     void startExchange();
     void reject(int status);
+    //! A callback has failed half way; the connection cannot be used any more.
+    void closeAfterFailure();
     void onTimer();
     void startLingering();
     void waitForRequest();
@@ -71,11 +79,12 @@
     std::optional<Parser> parser_;     //!< Of the request that is being read.
     HttpExchange *exchange_ = nullptr; //!< Null without an exchange or after it was destroyed.
     Timer timer_;                      //!< Idle time, time of a request, or lingering.
-    Instant arrival_;                  //!< Of the first byte of the last request.
-    std::size_t scannedBytes_ = 0;     //!< Of a head that is not complete.
-    std::size_t headBytes_ = 0;        //!< Of the request that is being read.
-    bool isBusy_ = false;              //!< Between a request and the end of its answer.
-    bool isReading_ = false;           //!< Part of a request has been received.
+    Instant acceptedAt_;
+    Instant arrival_ {};           //!< Of the first byte of the last request.
+    std::size_t scannedBytes_ = 0; //!< Of a head that is not complete.
+    std::size_t headBytes_ = 0;    //!< Of the request that is being read.
+    bool isBusy_ = false;          //!< Between a request and the end of its answer.
+    bool isReading_ = false;       //!< Part of a request has been received.
     bool isClosingAfterWrite_ = false;
     bool isLingering_ = false; //!< Waits for the caller to close, discarding what it sends.
     bool isContinueSent_ = false;
--- a/src/transport/timer.cpp
+++ b/src/transport/timer.cpp
@@ -1,5 +1,6 @@
 #include "crocusport/transport/timer.h"
 
+#include "crocusport/transport/callbackguard.h"
 #include "crocusport/transport/eventloop.h"
 
 #include "timevalue.h"
@@ -52,8 +53,7 @@
     if (self->period_ == Duration::zero())
         event_del(self->event_);
     // The handler may destroy the timer, so nothing may follow this call.
-    const auto handler = self->handler_;
-    handler();
+    guardCallback("timer", [handler = self->handler_] { handler(); });
 }
 
 } // namespace crocusport
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -486,3 +486,112 @@
     REQUIRE(call->isEnded());
     REQUIRE_FALSE(record.end);
 }
+
+// Guards against a process that runs out of memory because of bytes that are no answer.
+SCENARIO("Bytes without end")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string name;
+        std::string begin;
+        std::string repeated;
+        HttpFailure failure;
+    };
+    const auto data = GENERATE_COPY(values<Case>({
+        { "in a status line", "HTTP/1.1 200 ", "a", HttpFailure::Malformed },
+        { "in a header", "HTTP/1.1 200 OK\r\nX: ", "a", HttpFailure::Malformed },
+        { "of headers", "HTTP/1.1 200 OK\r\n", "X: a\r\n", HttpFailure::Malformed },
+        { "of interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", HttpFailure::Malformed },
+        { "in a chunk header", chunked + "5;", "a", HttpFailure::Malformed },
+        { "in a trailer", chunked + "0\r\nX: ", "a", HttpFailure::Malformed },
+        { "of trailers", chunked + "0\r\n", "X: a\r\n", HttpFailure::Malformed },
+        { "in a body", "HTTP/1.1 200 OK\r\n\r\n", "a", HttpFailure::TooLarge },
+        { "of chunks", chunked, "1\r\na\r\n", HttpFailure::TooLarge },
+    }));
+    INFO(data.name);
+
+    LoopRunner runner;
+    RawServer server(runner.loop(), data.begin, RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.maxResponseBytes = 200'000;
+    request.acceptsCloseDelimited = true;
+    const auto call = client.start(request, record.handlers());
+    std::string block;
+    while (block.size() < 8192)
+        block += data.repeated;
+    std::size_t sent = 0;
+    REQUIRE(runner.runUntil([&] {
+        if (server.requestCount() > 0 && !record.end) {
+            server.sendToAll(block);
+            sent += block.size();
+        }
+        return record.end.has_value();
+    }));
+    REQUIRE(httpFailureName(record.end->failure) == httpFailureName(data.failure));
+    REQUIRE(record.body.size() <= 200'000);
+    // What was sent before the sender could see the close is no more than sockets hold.
+    CAPTURE(sent);
+    runner.runFor(Milliseconds(20));
+    REQUIRE(server.requestCount() == 1);
+}
+
+// Guards against a stalled stream that is kept alive by a byte now and then, and against a slow one
+// that is cut although it moves on.
+SCENARIO("Progress is what the user of a call says it is")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto request = requestTo(server.address());
+    request.progress = ResponseProgress::Noticed;
+    request.progressTimeout = std::chrono::milliseconds(150);
+    const auto call = client.start(request, record.handlers());
+    REQUIRE(runner.runUntil([&] { return record.status == 200; }));
+    const auto trickle = [&](int times, const std::function<void()> &each) {
+        for (int i = 0; i < times && !record.end; ++i) {
+            server.sendToAll("1\r\na\r\n");
+            runner.runFor(Milliseconds(40));
+            each();
+        }
+    };
+
+    WHEN("bytes come that are none")
+    {
+        trickle(10, [] {});
+        REQUIRE(record.end.has_value());
+        REQUIRE(record.end->failure == HttpFailure::ProgressTimeout);
+    }
+    WHEN("they are noticed")
+    {
+        trickle(10, [&] { call->noteProgress(std::chrono::milliseconds(150)); });
+        REQUIRE_FALSE(record.end.has_value());
+        THEN("a shorter limit holds from then on")
+        {
+            call->noteProgress(std::chrono::milliseconds(30));
+            runner.runFor(Milliseconds(60));
+            REQUIRE(record.end.has_value());
+        }
+    }
+}
+
+// Guards against a request that is sent although what allowed it has changed meanwhile.
+SCENARIO("A request that is not wanted any more when its connection is made")
+{
+    LoopRunner runner;
+    RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
+    HttpClient client(runner.loop(), {});
+    CallRecord record;
+    auto handlers = record.handlers();
+    handlers.onReady = [] { return false; };
+    const auto call = client.start(requestTo(server.address()), std::move(handlers));
+    REQUIRE(runner.runUntil([&] { return record.end.has_value(); }));
+    REQUIRE(record.end->failure == HttpFailure::Withdrawn);
+    REQUIRE_FALSE(record.end->isRequestSent);
+    runner.runFor(Milliseconds(20));
+    REQUIRE(server.requestCount() == 0);
+}
--- a/tests/transport/testhttpserver.cpp
+++ b/tests/transport/testhttpserver.cpp
@@ -4,6 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 
 #include <string>
@@ -531,3 +535,45 @@
         [](const Error &error) { return error.code; }, [] { return ResultCode::InternalError; });
     REQUIRE(code == ResultCode::ListenFailed);
 }
+
+// Guards against a planned stop that cuts off requests which have just arrived: those that wait in
+// the socket of an open connection, and those on connections that nobody has accepted yet.
+SCENARIO("A stop in the same instant in which requests arrive")
+{
+    constexpr int kCallers = 5;
+    const auto isOpenBefore = GENERATE(true, false);
+    CAPTURE(isOpenBefore);
+    LoopRunner runner;
+    const auto server =
+        makeServer(runner.loop(), [](const auto &exchange) { exchange->reply(200, {}, "served"); });
+    std::vector<int> sockets;
+    for (int i = 0; i < kCallers; ++i) {
+        // Blocking sockets act at once, while the server's loop stands still.
+        const auto port = static_cast<std::uint16_t>(
+            std::stoi(server->address().value().substr(server->address().value().find(':') + 1)));
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(connect(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+        sockets.push_back(descriptor);
+    }
+    if (isOpenBefore)
+        runner.runUntil([&] { return server->connectionCount() == kCallers; });
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (const int descriptor : sockets)
+        REQUIRE(send(descriptor, request.data(), request.size(), 0)
+                == static_cast<ssize_t>(request.size()));
+    server->stopAccepting();
+    runner.runFor(Milliseconds(100));
+    for (const int descriptor : sockets) {
+        std::string received(1000, '\0');
+        const auto size = recv(descriptor, received.data(), received.size(), MSG_DONTWAIT);
+        REQUIRE(size > 0);
+        REQUIRE(received.starts_with("HTTP/1.1 200"));
+        REQUIRE(received.find("Connection: close") != std::string::npos);
+        close(descriptor);
+    }
+    REQUIRE(server->openExchanges() == 0);
+}
