--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -5,9 +5,11 @@
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crocusport {
 
@@ -20,21 +22,24 @@
     RouterName router;
     Region region;
     AvailabilityZone zone;
-    SocketAddress callers;         //!< Where callers connect.
-    SocketAddress ready;           //!< Where the load balancer asks for readiness.
-    std::string ip;                //!< Of the internal ports.
-    std::uint16_t reportPort = 0;  //!< Datagrams between routers.
-    std::uint16_t metricsPort = 0; //!< Metrics; 0: none.
+    SocketAddress callers;            //!< Where callers connect.
+    SocketAddress ready;              //!< Where the load balancer asks for readiness.
+    std::string ip;                   //!< Of the internal ports.
+    std::uint16_t reportPort = 0;     //!< Datagrams between routers.
+    std::uint16_t metricsPort = 0;    //!< Metrics; 0: none.
+    std::vector<SocketAddress> seeds; //!< Some routers; only the hosts count.
     SocketAddress store;
     Milliseconds revocationBound {};    //!< Time after which a withdrawn key is refused everywhere.
     bool isRevocationStrict = false;    //!< The bound holds while the store cannot be reached, too.
+    Milliseconds leavingBound {};       //!< Time after which a leaving server gets nothing more.
     Milliseconds configurationBound {}; //!< Time in which a new configuration is in force.
     double retryRatio = 0;
     double retrySlack = 0;
     std::chrono::seconds retryWindow {};
     std::chrono::seconds shutdownGrace {}; //!< From SIGTERM to the end of the process by force.
     Milliseconds storePollInterval {};
-    Milliseconds reportInterval {}; //!< Least time between two load reports.
+    std::size_t answerMemoryMb = 24; //!< For answers that cannot be passed on yet.
+    Milliseconds reportInterval {};  //!< Least time between two load reports.
 
     /*!
         Reads the TOML file \a path. Fails with BadSettings, naming the file, line, key and what is
--- a/include/crocusport/gateway/serverentry.h
+++ b/include/crocusport/gateway/serverentry.h
@@ -23,6 +23,13 @@
     StartNumber start;             //!< Grows when the same name starts again.
     std::uint64_t sequence = 0;    //!< Grows with each entry of one start.
 
+    //! Whether the entry differs from \a other, which has the same name, in no more than its age.
+    bool hasSameUse(const ServerEntry &other) const
+    {
+        return std::tie(pool, address, zone, slots, state, start)
+            == std::tie(other.pool, other.address, other.zone, other.slots, other.state,
+                        other.start);
+    }
     //! Whether the entry was written after \a other, which has the same name.
     bool isNewerThan(const ServerEntry &other) const
     {
--- a/include/crocusport/gateway/wiremessages.h
+++ b/include/crocusport/gateway/wiremessages.h
@@ -56,7 +56,10 @@
     bool isNotExecuted = false; //!< The request has not run.
     bool isMisdirected = false; //!< Another server answers at the address; nothing has run.
     bool isEncoded = false;     //!< The body is not the one that the backend server wrote.
-    HttpHeaders passedHeaders;  //!< To be returned unchanged.
+    bool isLeaving = false;     //!< The server is about to stop and wants no new requests.
+    std::optional<Duration>
+        retryAfter;            //!< For this long the server wants nothing from this router.
+    HttpHeaders passedHeaders; //!< To be returned unchanged.
 };
 
 //! An item or the deletion of one, as the store reports it.
@@ -83,8 +86,7 @@
 concept WireFormats = requires(const HttpExchange &exchange, const IncomingRequest &request,
                                const AttemptHead &head, const HttpHeaders &headers,
                                const std::string &text, std::string_view body,
-                               const RouterEntry &router, StoreRevision revision,
-                               std::uint64_t lease, Milliseconds milliseconds)
+                               StoreRevision revision)
 {
     {
         T::decodeRequest(exchange)
@@ -111,16 +113,10 @@
         T::decodeWatch(body)
         } -> std::same_as<Result<StorePage>>;
     {
-        T::grantLeaseCall(milliseconds)
+        T::putCall(text, text)
         } -> std::same_as<HttpCallRequest>;
     {
-        T::decodeLease(body)
-        } -> std::same_as<Result<std::uint64_t>>;
-    {
-        T::keepLeaseCall(lease)
-        } -> std::same_as<HttpCallRequest>;
-    {
-        T::putCall(text, text, lease)
+        T::removeCall(text)
         } -> std::same_as<HttpCallRequest>;
     {
         T::isConfigurationKey(text)
--- a/src/gateway/eventsplitter.cpp
+++ b/src/gateway/eventsplitter.cpp
@@ -1,15 +1,16 @@
 #include "eventsplitter.h"
 
 #include <charconv>
+#include <utility>
 
 namespace crocusport {
 
 namespace {
 
-//! Returns the size of the first event with its empty line, or 0 if none is complete.
-std::size_t firstEventSize(std::string_view text)
+//! Returns the size of the first event with its empty line, or 0 if none is complete; its end is
+//! not before \a position.
+std::size_t firstEventSize(std::string_view text, std::size_t position = 0)
 {
-    std::size_t position = 0;
     while ((position = text.find('\n', position)) != std::string_view::npos) {
         ++position;
         if (text.substr(position, 1) == "\n")
@@ -43,10 +44,13 @@
 
 EventBatch EventSplitter::add(std::string_view data, std::optional<std::uint64_t> after)
 {
+    // An empty line that was cut by the last piece begins at most two bytes back.
+    constexpr std::size_t kEndOverlap = 2;
+    auto scanned = pending_.size() > kEndOverlap ? pending_.size() - kEndOverlap : 0;
     pending_ += data;
     EventBatch batch;
     std::string_view rest = pending_;
-    while (const auto size = firstEventSize(rest)) {
+    while (const auto size = firstEventSize(rest, std::exchange(scanned, 0))) {
         const auto event = rest.substr(0, size);
         const auto id = eventId(event);
         if (!id || !after || *id > *after) {
--- a/src/gateway/eventsplitter.h
+++ b/src/gateway/eventsplitter.h
@@ -30,6 +30,8 @@
     EventBatch add(std::string_view data, std::optional<std::uint64_t> after);
     //! Whether an event has begun that is not complete.
     bool hasPartialEvent() const { return !pending_.empty(); }
+    //! Bytes of the event that is not complete.
+    std::size_t pendingBytes() const { return pending_.size(); }
     void clear() { pending_.clear(); }
 
 private:
--- a/src/gateway/formattable.h
+++ b/src/gateway/formattable.h
@@ -16,10 +16,8 @@
     Result<StorePage> (*decodeRange)(std::string_view);
     HttpCallRequest (*watchCall)(const std::string &, StoreRevision);
     Result<StorePage> (*decodeWatch)(std::string_view);
-    HttpCallRequest (*grantLeaseCall)(Milliseconds);
-    Result<std::uint64_t> (*decodeLease)(std::string_view);
-    HttpCallRequest (*keepLeaseCall)(std::uint64_t);
-    HttpCallRequest (*putCall)(const std::string &, const std::string &, std::uint64_t);
+    HttpCallRequest (*putCall)(const std::string &, const std::string &);
+    HttpCallRequest (*removeCall)(const std::string &);
     bool (*isConfigurationKey)(const std::string &);
     Result<RoutingConfiguration> (*decodeConfiguration)(std::string_view);
     std::optional<BackendServerName> (*serverNameOfKey)(const std::string &);
@@ -29,12 +27,11 @@
 template<WireFormats Formats>
 constexpr FormatTable formatTable()
 {
-    return { Formats::decodeRequest,      Formats::attemptHeaders,      Formats::decodeAnswer,
-             Formats::readyTarget,        Formats::rangeCall,           Formats::decodeRange,
-             Formats::watchCall,          Formats::decodeWatch,         Formats::grantLeaseCall,
-             Formats::decodeLease,        Formats::keepLeaseCall,       Formats::putCall,
-             Formats::isConfigurationKey, Formats::decodeConfiguration, Formats::serverNameOfKey,
-             Formats::decodeServer };
+    return { Formats::decodeRequest,   Formats::attemptHeaders,     Formats::decodeAnswer,
+             Formats::readyTarget,     Formats::rangeCall,          Formats::decodeRange,
+             Formats::watchCall,       Formats::decodeWatch,        Formats::putCall,
+             Formats::removeCall,      Formats::isConfigurationKey, Formats::decodeConfiguration,
+             Formats::serverNameOfKey, Formats::decodeServer };
 }
 
 } // namespace crocusport
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -1,5 +1,6 @@
 #include "forwardedrequest.h"
 
+#include "crocusport/transport/callbackguard.h"
 #include "crocusport/transport/eventloop.h"
 
 #include <xxhash.h>
@@ -33,6 +34,8 @@
 constexpr int kMaxUnsentAttempts = 4;
 // Attempts that a server may refuse as not run, beyond those that may run.
 constexpr int kMaxRefusedAttempts = 2;
+// For routes that name no timeout.
+constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
 // Share of the latency objective for which a request waits for a place.
 constexpr double kWaitShare = 0.5;
 // Advice to callers when the router itself cannot serve.
@@ -67,18 +70,32 @@
 {
     const auto request = std::make_shared<ForwardedRequest>(services, std::move(exchange));
     services.open.insert(request);
-    request->begin();
+    request->guard([&] { request->begin(); });
 }
 
 ForwardedRequest::ForwardedRequest(GatewayServices &services,
                                    std::shared_ptr<HttpExchange> exchange)
     : services_(services), exchange_(std::move(exchange)), account_(exchange_->arrival()),
-      deadlineTimer_(services.loop, [this] { onDeadline(); }),
-      waitTimer_(services.loop, [this] { onWaitedTooLong(); })
+      deadlineTimer_(services.loop, [this] { guard([this] { onDeadline(); }); }),
+      waitTimer_(services.loop, [this] { guard([this] { onWaitedTooLong(); }); }),
+      heldAnswer_(services.answerMemory), unreadAnswer_(services.answerMemory)
 { }
 
 ForwardedRequest::~ForwardedRequest() = default;
 
+template<typename Function>
+void ForwardedRequest::guard(Function &&function)
+{
+    const auto self = shared_from_this();
+    if (guardCallback("request", function))
+        return;
+    guardCallback("end of a failed request", [this] {
+        if (call_)
+            mayHaveRun_ = true;
+        finishFault(ResultCode::InternalError);
+    });
+}
+
 void ForwardedRequest::begin()
 {
     request_ = services_.formats.decodeRequest(*exchange_);
@@ -93,7 +110,8 @@
     }
     if (!findRoute() || !findTeam())
         return;
-    deadline_ = exchange_->arrival() + route_.timeout;
+    deadline_ = exchange_->arrival()
+        + (route_.timeout > Duration::zero() ? route_.timeout : kDefaultTimeout);
     if (request_.timeLimit)
         deadline_ = std::min(deadline_, exchange_->arrival() + *request_.timeLimit);
     choosePool();
@@ -103,7 +121,7 @@
         return;
     }
     const auto self = shared_from_this();
-    exchange_->onClosed([this] { onCallerLeft(); });
+    exchange_->onClosed([this] { guard([this] { onCallerLeft(); }); });
     deadlineTimer_.startOnce(std::max(deadline_ - monotonicNow(), Duration::zero()));
     services_.retryWindow(pool_).noteRequest(monotonicNow());
     lastEventId_ = request_.lastEventId;
@@ -209,6 +227,8 @@
         finishFault(ResultCode::NotConfigured);
         return true;
     }
+    if (!services_.isKnowledgeFresh())
+        return false;
     const auto choice = services_.selector.choose(pool_, services_.table()->findPool(pool_), work_,
                                                   excluded_, monotonicNow());
     if (!choice.server)
@@ -219,25 +239,36 @@
 
 void ForwardedRequest::wait()
 {
+    // When all servers ask for a longer pause, waiting here would only delay the answer.
+    const auto pause = services_.selector.pause(pool_, monotonicNow());
+    if (monotonicNow() + pause > latestWait()) {
+        finishFault(ResultCode::QueueFull);
+        return;
+    }
     const auto latestStart = exchange_->arrival() + route_.target;
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
     ticket_ = services_.waiting.add(pool_, urgency_, latestStart, [weak] {
         const auto self = weak.lock();
         if (!self || self->isEnded_ || !self->ticket_)
             return true;
-        const auto ticket = std::exchange(self->ticket_, std::nullopt);
-        if (self->tryPlace()) {
-            self->waitTimer_.stop();
-            return true;
-        }
-        self->ticket_ = ticket;
-        return false;
+        bool isPlaced = true; // Also when it has failed and been answered.
+        self->guard([&] {
+            const auto ticket = std::exchange(self->ticket_, std::nullopt);
+            isPlaced = self->tryPlace();
+            if (isPlaced)
+                self->waitTimer_.stop();
+            else
+                self->ticket_ = ticket;
+        });
+        return isPlaced;
     });
-    const auto now = monotonicNow();
-    const auto limit =
-        exchange_->arrival() + std::chrono::duration_cast<Duration>(route_.target * kWaitShare);
     if (!waitTimer_.isActive())
-        waitTimer_.startOnce(std::max(limit - now, Duration::zero()));
+        waitTimer_.startOnce(std::max(latestWait() - monotonicNow(), Duration::zero()));
+}
+
+Instant ForwardedRequest::latestWait() const
+{
+    return exchange_->arrival() + std::chrono::duration_cast<Duration>(route_.target * kWaitShare);
 }
 
 void ForwardedRequest::onWaitedTooLong()
@@ -268,12 +299,16 @@
     answer_.reset();
     body_.clear();
     splitter_.clear();
+    heldAnswer_.release();
     isStream_ = false;
     HttpCallHandlers handlers;
-    handlers.onHead = [this](int status, const HttpHeaders &headers) { onHead(status, headers); };
-    handlers.onBody = [this](std::string_view data) { onBody(data); };
+    handlers.onHead = [this](int status, const HttpHeaders &headers) {
+        guard([&] { onHead(status, headers); });
+    };
+    handlers.onBody = [this](std::string_view data) { guard([&] { onBody(data); }); };
+    handlers.onReady = [this] { return isStillSound(); };
     handlers.onSilence = [this] { return isWorthWaiting(); };
-    handlers.onEnd = [this](const HttpCallEnd &callEnd) { onEnd(callEnd); };
+    handlers.onEnd = [this](const HttpCallEnd &callEnd) { guard([&] { onEnd(callEnd); }); };
     call_ = services_.backends.start(makeCall(*server_), std::move(handlers));
     ++sentAttempts_;
 }
@@ -297,9 +332,18 @@
     call.connectTimeout = std::min(kConnectTimeout, remaining);
     call.progressTimeout = std::min(services_.silence.limit(route_), remaining);
     call.acceptsCloseDelimited = true;
+    if (route_.kind == RequestKind::Stream)
+        call.progress = ResponseProgress::Noticed;
     return call;
 }
 
+// While a connection was made, its server may have begun to leave.
+bool ForwardedRequest::isStillSound() const
+{
+    return server_->isUsable() && server_->health.pausedUntil() <= monotonicNow()
+        && services_.isKnowledgeFresh();
+}
+
 // A silent attempt is given up only when another one may take its place.
 bool ForwardedRequest::isWorthWaiting()
 {
@@ -311,40 +355,66 @@
 {
     const auto self = shared_from_this();
     answer_ = services_.formats.decodeAnswer(status, headers);
-    // An answer to an earlier request may arrive late where this one's is due.
-    const bool isForeign = !answer_->requestId.empty() && answer_->requestId != request_.id;
+    // A copy of an earlier answer may arrive late where this one's is due. Where the connection has
+    // carried another request, an answer without an id may be such a copy, whatever it says.
+    const bool isForeign = answer_->requestId.empty() ? !call_->isOnNewConnection()
+                                                      : answer_->requestId != request_.id;
     const bool isSuccess = status >= kOk && status < kMultipleChoices;
     const bool isWrong =
         isSuccess && (!answer_->isSealed || answer_->isEncoded || answer_->requestId.empty());
     if (isForeign || isWrong) {
-        call_.reset();
-        HttpCallEnd wrong;
-        wrong.failure = HttpFailure::Malformed;
-        wrong.status = status;
-        wrong.isRequestSent = true;
-        answer_.reset();
-        onEnd(wrong);
+        rejectAnswer(HttpFailure::Malformed);
         return;
     }
     isStream_ = route_.kind == RequestKind::Stream && isSuccess;
+    noteServerWishes();
+}
+
+// Ends the attempt; what its server has sent is of no use.
+void ForwardedRequest::rejectAnswer(HttpFailure failure)
+{
+    call_.reset();
+    HttpCallEnd wrong;
+    wrong.failure = failure;
+    wrong.status = answer_ ? answer_->status : 0;
+    wrong.isRequestSent = true;
+    answer_.reset();
+    onEnd(wrong);
+}
+
+void ForwardedRequest::noteServerWishes()
+{
+    if (answer_->retryAfter)
+        server_->health.notePause(*answer_->retryAfter, monotonicNow());
+    if (answer_->isLeaving && !server_->isLeaving)
+        services_.serverLeaves(*server_);
 }
 
 void ForwardedRequest::onBody(std::string_view data)
 {
+    const auto self = shared_from_this();
     if (!isStream_) {
-        body_ += data;
+        if (heldAnswer_.resize(body_.size() + data.size()))
+            body_ += data;
+        else
+            rejectAnswer(HttpFailure::TooLarge);
         return;
     }
     const auto batch = splitter_.add(data, lastEventId_);
     if (batch.count > 0)
         onEvents(batch);
+    if (!isEnded_ && !heldAnswer_.resize(splitter_.pendingBytes()))
+        rejectAnswer(HttpFailure::TooLarge);
 }
 
 void ForwardedRequest::onEvents(const EventBatch &batch)
 {
     const auto self = shared_from_this();
     const auto now = monotonicNow();
-    if (account_.noteEvents(batch.count, now))
+    const bool isFirst = account_.noteEvents(batch.count, now);
+    call_->noteProgress(std::min(services_.silence.limit(route_, account_.longestPause()),
+                                 std::max(deadline_ - now, Duration(Milliseconds(1)))));
+    if (isFirst)
         services_.silence.noteBegin(route_.name, account_.attemptTime(now));
     if (load_.prefillTokens > 0) {
         // The prompt has been read.
@@ -359,13 +429,15 @@
     exchange_->sendChunk(batch.text);
     if (batch.lastId)
         lastEventId_ = batch.lastId;
-    if (exchange_->bufferedBytes() > kMaxUnreadBytes)
+    const auto unread = exchange_->bufferedBytes();
+    if (unread > kMaxUnreadBytes || !unreadAnswer_.resize(unread))
         finishFault(ResultCode::CallerLeft);
 }
 
 void ForwardedRequest::onEnd(const HttpCallEnd &callEnd)
 {
     const auto self = shared_from_this();
+    heldAnswer_.release();
     const bool isWhole = callEnd.failure == HttpFailure::None && answer_
         && !(isStream_ && splitter_.hasPartialEvent());
     if (isWhole) {
@@ -418,10 +490,11 @@
 void ForwardedRequest::noteFault(AttemptFault fault, const HttpCallEnd &callEnd)
 {
     const auto now = monotonicNow();
-    if (fault == AttemptFault::NotSent)
-        server_->health.noteUnreachable(now);
-    else
+    // A server from which the request was withdrawn is sound, and only wants no more of them.
+    if (fault != AttemptFault::NotSent)
         server_->health.noteBrokenConnection(now);
+    else if (callEnd.failure != HttpFailure::Withdrawn)
+        server_->health.noteUnreachable(now);
     const bool isClosed = callEnd.failure == HttpFailure::ClosedBeforeResponse
         || callEnd.failure == HttpFailure::ClosedMidResponse;
     if (fault == AttemptFault::Broken && isClosed)
@@ -520,7 +593,8 @@
         return;
     }
     if (!mayHaveRun_) {
-        refuse(kUnavailable, code, kRetryAfterUnready);
+        const auto pause = services_.selector.pause(pool_, monotonicNow());
+        refuse(kUnavailable, code, std::max<Duration>(kRetryAfterUnready, pause));
         return;
     }
     const int status = code == ResultCode::DeadlinePassed ? kGatewayTimeout : kBadGateway;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_FORWARDEDREQUEST_H
 #define CROCUSPORT_FORWARDEDREQUEST_H
 
+#include "answermemory.h"
 #include "eventsplitter.h"
 #include "gatewayservices.h"
 #include "requestaccount.h"
@@ -45,6 +46,9 @@
         Failed,  //!< The server answered with a failure of its own.
     };
 
+    //! Calls \a function; when it fails with an exception, this request ends, and no other.
+    template<typename Function>
+    void guard(Function &&function);
     void begin();
     bool findRoute();
     bool findTeam();
@@ -55,12 +59,19 @@
     void place();
     bool tryPlace();
     void wait();
+    //! Until when the request may wait for a place.
+    Instant latestWait() const;
     void onWaitedTooLong();
     void startAttempt(const ServerSelector::Choice &choice);
     HttpCallRequest makeCall(const KnownServer &server) const;
+    //! Whether the request may still be sent to its server.
+    bool isStillSound() const;
     //! Whether the attempt goes on though its server has been silent.
     bool isWorthWaiting();
     void onHead(int status, const HttpHeaders &headers);
+    void rejectAnswer(HttpFailure failure);
+    //! Takes in what the answer's head says of the server beside the request.
+    void noteServerWishes();
     void onBody(std::string_view data);
     void onEvents(const EventBatch &batch);
     void onEnd(const HttpCallEnd &end);
@@ -105,6 +116,8 @@
     std::optional<AnswerHead> answer_;
     std::string body_;
     EventSplitter splitter_;
+    AnswerMemory::Share heldAnswer_;           //!< For body_ and the event that is not complete.
+    AnswerMemory::Share unreadAnswer_;         //!< For what the caller has not read.
     std::optional<std::uint64_t> lastEventId_; //!< That the caller has.
     std::vector<BackendServerName> excluded_;
     int sentAttempts_ = 0; //!< That may have reached a server.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "forwardedrequest.h"
 #include "uptime.h"
 
+#include "crocusport/transport/callbackguard.h"
 #include "crocusport/transport/eventloop.h"
 
 #include <algorithm>
@@ -16,31 +17,16 @@
 // Waiting requests look for a place when a load changes, and this often for what others report.
 constexpr Duration kWaitingInterval = std::chrono::milliseconds(10);
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
-// Routers without a change report this often, so that others know that they live and what they know
-// of the store.
-constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
-// A zone of 28 routers with links of 10 Mbit/s spends about 1 % of them on reports.
-constexpr Duration kReportIntervalPerRouter = std::chrono::milliseconds(12);
-// Sums for other zones go to every router there, over dear links.
-constexpr Duration kZoneReportInterval = std::chrono::seconds(1);
-// Ticks come every 100 ms; a larger gap means that the process has not run.
-constexpr Duration kMaxTickGap = std::chrono::milliseconds(400);
-// Longest time that a report is taken to have been under way.
-constexpr Duration kReportTransit = std::chrono::milliseconds(150);
-// Three routers that hear each other need one poll interval between them.
-constexpr double kRoutersPerStoreCall = 3;
-constexpr double kMaxStoreCallStretch = 4;
-// What routers of other zones read arrives with the sums of their zones, and so later.
-constexpr double kFarRouterShare = 0.5;
-// Share of the bound for configurations after which a router asks, whatever it has heard.
-constexpr double kMaxKnowledgeAgeShare = 0.6;
-// Suspicions are repeated for this long, since datagrams may be lost.
-constexpr Duration kSuspicionRepeatTime = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxReportedChains = 64;
-constexpr std::size_t kMaxReportedPaces = 32;
-constexpr double kPaceUnitsPerMs = 10;
-// Of one second in a zone; a datagram of this many takes about 6 kB.
-constexpr std::size_t kMaxZoneChains = 512;
+// From the choice of a server to the arrival of the request there: links may hold packets for some
+// time before a host counts as slow.
+constexpr Duration kSendingTime = std::chrono::milliseconds(400);
+// The first routers of a zone have entries in the store; the second one is for when the first dies.
+constexpr std::size_t kRegisteredRouters = 2;
+// Within this time routers that start have met, and know their ranks.
+constexpr Duration kMeetingTime = std::chrono::milliseconds(2500);
+// Entries of routers that are silent for so long are removed.
+constexpr Duration kLapseTime = std::chrono::seconds(60);
+constexpr std::size_t kBytesPerMb = 1024UL * 1024;
 // Time after which a router that does not hear the store is not ready for keyed requests.
 constexpr double kReadyAgeShare = 0.5;
 // The load balancer asks once a second and needs two misses. Requests that are taken later may
@@ -82,17 +68,16 @@
                  int logDescriptor)
     : loop_(loop), settings_(std::move(settings)), formats_(formats), log_(loop, logDescriptor),
       random_(std::random_device {}()), backends_(loop, backendOptions()),
-      storeClient_(loop, backendOptions()),
+      storeClient_(loop, backendOptions()), routerClient_(loop, backendOptions()),
       selector_(directory_, prefixes_, settings_.zone, random_()),
-      peers_(directory_, settings_.zone), tickTimer_(loop, [this] { tick(); }),
-      reportTimer_(loop, [this] { sendReport(false); }),
+      answerMemory_(settings_.answerMemoryMb * kBytesPerMb), tickTimer_(loop, [this] { tick(); }),
       waitingTimer_(loop,
                     [this] {
                         waiting_.startAll();
                         if (!waiting_.empty())
                             waitingTimer_.startOnce(kWaitingInterval);
                     }),
-      reportedAt_(monotonicNow()), nextHousekeeping_(reportedAt_), services_ {
+      nextHousekeeping_(monotonicNow()), services_ {
           loop,
           settings_,
           formats_,
@@ -103,28 +88,26 @@
           waiting_,
           silence_,
           crashes_,
+          answerMemory_,
           metrics_,
           log_,
           random_,
           [this] { return table_; },
           [this] { return configurationAge(); },
-          [this] { return routerCount(); },
+          [this] { return isKnowledgeFresh(); },
+          [this] { return exchange_->routers().fleetSize(); },
           [this](const PoolName &pool) -> RetryWindow & { return retryWindow(pool); },
-          [this] { scheduleReport(); },
-          [this](ServerHash server, ChainHash chain) {
-              if (newChains_.size() < kMaxReportedChains)
-                  newChains_.emplace_back(server, chain);
-              noteZoneChain(server, chain);
-          },
+          [this] { onLoadChanged(); },
+          [this](ServerHash server, ChainHash chain) { exchange_->noteChain(server, chain); },
           [this](Fingerprint fingerprint, const std::string &crash) {
               noteCrashSuspicion(fingerprint, crash);
           },
           [this](KnownServer &server, double ms) {
               server.pace.note(ms, monotonicNow());
-              if (newPaces_.size() < kMaxReportedPaces)
-                  newPaces_.emplace_back(server.hash,
-                                         static_cast<std::uint32_t>(ms * kPaceUnitsPerMs));
+              exchange_->notePace(server.hash, ms);
           },
+          [this] { return exchange_->loads().meanAge(monotonicNow()); },
+          [this](KnownServer &server) { onServerLeaving(server, "answer"); },
           {}
       }
 { }
@@ -157,25 +140,19 @@
                                                  answerMetrics(*exchange);
                                              }));
     }
-    const SocketAddress reportAddress(settings_.ip + ':' + std::to_string(settings_.reportPort));
-    BOOST_LEAF_ASSIGN(reports_,
-                      DatagramSocket::create(loop_, reportAddress,
-                                             [this](std::string_view bytes) { onReport(bytes); }));
-    StoreFeed::Options options;
-    options.address = settings_.store;
-    options.pollInterval = settings_.storePollInterval;
-    options.callTimeout = kStoreCallTimeout;
+    BOOST_LEAF_CHECK(startExchange());
+    StoreFeed::Options options { settings_.store, planLimits() };
     feed_ = std::make_unique<StoreFeed>(
-        loop_, storeClient_, formats_, options,
+        loop_, storeClient_, routerClient_, formats_, exchange_->routers(), options,
         [this](const StoreChange &change) { return onStoreChange(change); },
         [this](const std::string &fault) {
             log_.write(LogLine(fault.empty() ? "store_regained" : "store_lost")
                            .add("reason", fault)
                            .text());
-        });
-    registration_ = std::make_unique<Registration>(
-        loop_, storeClient_, formats_, settings_.store,
-        RouterEntry { settings_.router, reports_->address(), settings_.zone });
+        },
+        [this] { exchange_->report(); });
+    registration_ =
+        std::make_unique<Registration>(storeClient_, formats_, settings_.store, exchange_->self());
     tickTimer_.startPeriodic(kTickInterval);
     log_.write(LogLine("router_started")
                    .add("router", settings_.router.value())
@@ -185,6 +162,60 @@
     return {};
 }
 
+Result<void> Gateway::startExchange()
+{
+    RouterExchange::Parts parts {
+        settings_,
+        directory_,
+        prefixes_,
+        crashes_,
+        log_,
+        random_,
+        [this] { return feed_ ? feed_->hint() : std::nullopt; },
+        [this](StoreRevision after) { return storeChanges(after); },
+        [this] {
+            if (feed_)
+                feed_->reconsider();
+        },
+        [this](KnownServer &server, const RouterName &from) {
+            onServerLeaving(server, from.value());
+        },
+    };
+    BOOST_LEAF_ASSIGN(exchange_, RouterExchange::create(loop_, std::move(parts)));
+    return {};
+}
+
+StorePlan::Limits Gateway::planLimits() const
+{
+    const auto bound = std::min(settings_.configurationBound, settings_.leavingBound);
+    return { settings_.storePollInterval, std::max<Duration>(bound - kSendingTime, bound / 2),
+             kStoreCallTimeout };
+}
+
+std::optional<StoreChanges> Gateway::storeChanges(StoreRevision after) const
+{
+    if (!feed_ || !feed_->mirror().isComplete() || !feed_->mirror().contact())
+        return std::nullopt;
+    return feed_->changesAfter(after);
+}
+
+// A server that has begun to leave, or a changed route, must be known in time. When the store is
+// out of reach, what is known is used until it is back.
+bool Gateway::isKnowledgeFresh()
+{
+    if (configurationAge() <= planLimits().knowledgeLimit || feed_->plan().isStoreOut(uptime()))
+        return true;
+    feed_->refresh();
+    return false;
+}
+
+void Gateway::onLoadChanged()
+{
+    if (!waiting_.empty() && !waitingTimer_.isActive())
+        waitingTimer_.startOnce(Duration::zero());
+    exchange_->scheduleReport();
+}
+
 bool Gateway::onStoreChange(const StoreChange &change)
 {
     if (formats_.isConfigurationKey(change.key))
@@ -194,12 +225,11 @@
     if (!Registration::isRouterKey(change.key))
         return false;
     if (!change.value) {
-        peers_.removeRouter(Registration::routerOfKey(change.key));
+        exchange_->routers().removeRegistered(Registration::routerOfKey(change.key));
         return true;
     }
-    const auto router = Registration::decode(change.key, *change.value);
-    if (router && router->name != settings_.router)
-        peers_.addRouter(*router);
+    if (const auto router = Registration::decode(change.key, *change.value))
+        exchange_->routers().addRegistered(*router, uptime());
     return true;
 }
 
@@ -260,25 +290,24 @@
 
 bool Gateway::updateServer(const ServerEntry &entry)
 {
-    const auto before = directory_.find(entry.name);
-    const bool wasUsable = before && before->isUsable();
-    const auto startBefore = before ? before->entry.start : StartNumber();
+    const auto known = directory_.find(entry.name);
+    const auto before = known ? std::optional(known->entry) : std::nullopt;
     if (!directory_.update(entry, monotonicNow()))
         return false;
     const auto after = directory_.find(entry.name);
-    if (before && startBefore != entry.start)
+    if (before && before->start != entry.start)
         prefixes_.forget(after->hash);
-    if (before && wasUsable == after->isUsable() && startBefore == entry.start)
+    // What this router has seen of the server itself must not hide a change from the others.
+    if (before && before->hasSameUse(entry))
         return false;
-    peers_.refresh(monotonicNow());
+    exchange_->refreshLoads();
     log_.write(LogLine("server_changed")
                    .add("server", entry.name.value())
                    .add("address", entry.address.value())
                    .add("usable", after->isUsable())
                    .add("start", entry.start.value())
                    .text());
-    // That a server is new harms nobody who does not know it yet.
-    return before != nullptr;
+    return true;
 }
 
 bool Gateway::removeServer(const BackendServerName &name)
@@ -293,162 +322,28 @@
     return true;
 }
 
-// Only the representative sends them, but any router may become it.
-void Gateway::noteZoneChain(ServerHash server, ChainHash chain)
-{
-    if (peers_.isDirect())
-        return;
-    zoneChains_.emplace_back(server, chain);
-    if (zoneChains_.size() > kMaxZoneChains)
-        zoneChains_.erase(zoneChains_.begin(), zoneChains_.begin() + kMaxZoneChains / 2);
-}
-
-void Gateway::onReport(std::string_view datagram)
+void Gateway::onServerLeaving(KnownServer &server, std::string_view source)
 {
-    handleErrors(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(report, decodeLoadReport(datagram));
-            if (report.router.name == settings_.router)
-                return {};
-            const auto now = monotonicNow();
-            peers_.take(report, now);
-            for (const auto &[server, chain] : report.chains) {
-                prefixes_.note(server, chain, now);
-                if (report.scope == ReportScope::Router)
-                    noteZoneChain(server, chain);
-            }
-            for (const auto &[hash, pace] : report.paces) {
-                if (const auto server = directory_.find(hash))
-                    server->pace.note(pace / kPaceUnitsPerMs, now);
-            }
-            for (const auto hash : report.broken) {
-                if (const auto server = directory_.find(hash))
-                    server->health.noteBrokenElsewhere(now);
-            }
-            if (report.store)
-                hearStore(*report.store);
-            for (const auto &suspicion : report.suspicions)
-                crashes_.add(suspicion.fingerprint, suspicion.crash, now);
-            return {};
-        },
-        [&](const Error &error) {
-            log_.write(LogLine("load_report_rejected").add("error", error.message).text());
-        });
-}
-
-// A report that has waited in a queue, while this host was suspended or its process stopped, says
-// nothing about how fresh the router's knowledge is.
-void Gateway::hearStore(const StoreKnowledge &knowledge)
-{
-    const auto now = uptime();
-    if (now - tickedAt_ > kMaxTickGap || now < ignoreStoreUntil_)
-        return;
-    feed_->hear(knowledge.revision, now - knowledge.age - kReportTransit);
-}
-
-void Gateway::scheduleReport()
-{
-    if (!waiting_.empty() && !waitingTimer_.isActive())
-        waitingTimer_.startOnce(Duration::zero());
-    if (reportTimer_.isActive())
-        return;
-    const auto due = reportedAt_ + reportInterval() - monotonicNow();
-    reportTimer_.startOnce(std::max<Duration>(due, Duration::zero()));
-}
-
-// The datagrams of a zone grow with the square of its routers; links and processors are small.
-Duration Gateway::reportInterval() const
-{
-    const auto routers = static_cast<int>(peers_.nearRouters().size());
-    return std::max<Duration>(settings_.reportInterval, kReportIntervalPerRouter * routers);
-}
-
-LoadReport Gateway::makeReport()
-{
-    LoadReport report;
-    report.router = { settings_.router, reports_->address(), settings_.zone };
-    report.sequence = ++reportSequence_;
-    if (feed_->lastContact())
-        report.store = StoreKnowledge { feed_->relevantRevision(),
-                                        std::chrono::ceil<Milliseconds>(configurationAge()) };
-    return report;
-}
-
-void Gateway::sendReport(bool isLeaving)
-{
-    const auto now = monotonicNow();
-    reportedAt_ = now;
-    reportedRevision_ = feed_->relevantRevision();
-    auto report = makeReport();
-    report.isLeaving = isLeaving;
-    directory_.forEach([&](const ServerDirectory::ServerPointer &server) {
-        if (server->own.requests > 0)
-            report.loads.emplace_back(server->hash, server->own);
-        if (server->health.isJustBroken(now))
-            report.broken.push_back(server->hash);
-    });
-    report.chains = std::exchange(newChains_, {});
-    report.paces = std::exchange(newPaces_, {});
-    while (!suspicions_.empty() && suspicions_.front().first + kSuspicionRepeatTime < now)
-        suspicions_.pop_front();
-    for (const auto &[at, suspicion] : suspicions_)
-        report.suspicions.push_back(suspicion);
-    const auto datagram = encodeLoadReport(report);
-    for (const auto &router : peers_.nearRouters())
-        reports_->send(router.address, datagram);
-    if (now - zoneReportedAt_ >= kZoneReportInterval)
-        sendZoneSum();
-}
-
-void Gateway::sendZoneSum()
-{
-    const auto now = monotonicNow();
-    zoneReportedAt_ = now;
-    if (peers_.isDirect() || !peers_.isRepresentative(settings_.router, now))
-        return;
-    auto report = makeReport();
-    report.scope = ReportScope::Zone;
-    auto sums = peers_.zoneLoads(now);
-    directory_.forEach([&](const ServerDirectory::ServerPointer &server) {
-        if (server->own.requests > 0)
-            sums[server->hash] += server->own;
-    });
-    report.loads.assign(sums.begin(), sums.end());
-    report.chains = std::exchange(zoneChains_, {});
-    const auto datagram = encodeLoadReport(report);
-    for (const auto &router : peers_.farRouters())
-        reports_->send(router.address, datagram);
-}
-
-// Routers of one neighbourhood share what they read, so each asks less often; the times are drawn
-// anew, so that they do not all ask at the same moment.
-void Gateway::paceStoreCalls()
-{
-    const auto near = static_cast<double>(peers_.currentNearCount(monotonicNow()) + 1);
-    const auto far = static_cast<double>(peers_.farRouters().size());
-    const double routers = near + kFarRouterShare * far;
-    const double share = std::clamp(routers / kRoutersPerStoreCall, 1.0, kMaxStoreCallStretch);
-    std::uniform_real_distribution<double> spread(0.6, 1.4);
-    const auto interval = share > 1 ? settings_.storePollInterval * share * spread(random_)
-                                    : settings_.storePollInterval * 1.0;
-    feed_->setPollInterval(std::chrono::duration_cast<Duration>(interval));
-    if (configurationAge() > settings_.configurationBound * kMaxKnowledgeAgeShare)
-        feed_->refresh();
+    server.isLeaving = true;
+    backends_.closeIdle(server.entry.address);
+    log_.write(LogLine("server_leaving")
+                   .add("server", server.entry.name.value())
+                   .add("source", source)
+                   .text());
+    exchange_->scheduleReport();
 }
 
 void Gateway::noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash)
 {
     if (fingerprint.value() == 0)
         return;
-    const auto now = monotonicNow();
-    crashes_.add(fingerprint, crash, now);
-    suspicions_.emplace_back(now, CrashSuspicion { fingerprint, crash });
-    scheduleReport();
+    crashes_.add(fingerprint, crash, monotonicNow());
+    exchange_->noteCrashSuspicion(fingerprint, crash);
 }
 
 Duration Gateway::configurationAge() const
 {
-    const auto contact = feed_ ? feed_->lastContact() : std::nullopt;
+    const auto contact = feed_ ? feed_->mirror().contact() : std::nullopt;
     return contact ? uptime() - *contact : Duration::max();
 }
 
@@ -458,14 +353,9 @@
     return retryWindows_.try_emplace(pool, limits).first->second;
 }
 
-std::size_t Gateway::routerCount() const
-{
-    return peers_.count() + 1;
-}
-
 bool Gateway::isReady() const
 {
-    if (stopRequestedAt_ || !table_ || !feed_->isSynchronized())
+    if (stopRequestedAt_ || !table_ || !feed_->mirror().isComplete())
         return false;
     return !table_->hasTeams() || !settings_.isRevocationStrict
         || toSeconds(configurationAge()) < kReadyAgeShare * toSeconds(settings_.revocationBound);
@@ -486,27 +376,30 @@
     metrics_.setGauge("crocusport_backend_servers", "Registered backend servers.",
                       static_cast<double>(directory_.size()));
     metrics_.setGauge("crocusport_members", "Known routers, with this one.",
-                      static_cast<double>(routerCount()));
+                      static_cast<double>(exchange_->routers().fleetSize()));
     metrics_.setGauge("crocusport_configuration_version", "Version of the configuration in force.",
                       table_ ? static_cast<double>(table_->version().value()) : 0);
     metrics_.setGauge("crocusport_configuration_age_seconds",
                       "Time since the configuration was surely the newest.",
-                      feed_->lastContact() ? toSeconds(configurationAge()) : -1);
+                      feed_->mirror().contact() ? toSeconds(configurationAge()) : -1);
     metrics_.setGauge("crocusport_log_lines_dropped", "Log lines dropped since the start.",
                       static_cast<double>(log_.droppedLines()));
-    metrics_.setGauge("crocusport_store_calls", "Calls of the change feed since the start.",
-                      static_cast<double>(feed_->startedCalls()));
+    metrics_.setGauge("crocusport_store_calls", "Calls to the store since the start.",
+                      static_cast<double>(feed_->storeCalls() + registration_->calls()));
+    metrics_.setGauge("crocusport_router_questions",
+                      "Questions to other routers for what the store holds.",
+                      static_cast<double>(feed_->routerCalls()));
+    metrics_.setGauge("crocusport_answer_memory_bytes",
+                      "Shared memory that answers hold which cannot be passed on yet.",
+                      static_cast<double>(answerMemory_.borrowedBytes()));
+    metrics_.setGauge("crocusport_callback_failures", "Callbacks that ended with an exception.",
+                      static_cast<double>(callbackFailures()));
     exchange.reply(kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text());
 }
 
 void Gateway::tick()
 {
     const auto now = monotonicNow();
-    const auto boot = uptime();
-    if (boot - tickedAt_ > kMaxTickGap)
-        ignoreStoreUntil_ = boot + kMaxTickGap;
-    tickedAt_ = boot;
-    paceStoreCalls();
     for (auto removal = delayedRemovals_.begin(); removal != delayedRemovals_.end();) {
         if (removal->second <= now) {
             removeServer(removal->first);
@@ -515,9 +408,8 @@
             ++removal;
         }
     }
-    // What has changed in the store must reach the others before they would ask themselves.
-    if (now - reportedAt_ >= kIdleReportInterval || feed_->relevantRevision() != reportedRevision_)
-        sendReport(false);
+    exchange_->tick(now);
+    updateRegistration();
     if (!waiting_.empty() && !waitingTimer_.isActive())
         waitingTimer_.startOnce(Duration::zero());
     if (now >= nextHousekeeping_) {
@@ -525,20 +417,33 @@
         directory_.expire(now);
         prefixes_.expire(now);
         crashes_.expire(now);
-        peers_.refresh(now);
     }
     if (stopRequestedAt_)
         continueShutdown();
 }
 
+void Gateway::updateRegistration()
+{
+    const auto boot = uptime();
+    if (!feed_->mirror().isComplete() || monotonicNow() - startedAt_ < kMeetingTime
+        || stopRequestedAt_)
+        return;
+    const auto rank = exchange_->routers().rank(boot);
+    const auto lapsed =
+        rank == 0 ? exchange_->routers().lapsed(kLapseTime, boot) : std::vector<RouterName>();
+    registration_->update(feed_->mirror(), rank < kRegisteredRouters, lapsed, boot);
+}
+
 void Gateway::reload(const GatewaySettings &settings)
 {
     settings_.revocationBound = settings.revocationBound;
     settings_.isRevocationStrict = settings.isRevocationStrict;
     settings_.configurationBound = settings.configurationBound;
+    settings_.leavingBound = settings.leavingBound;
     settings_.retryRatio = settings.retryRatio;
     settings_.retrySlack = settings.retrySlack;
     settings_.shutdownGrace = settings.shutdownGrace;
+    feed_->setLimits(planLimits());
     log_.write(LogLine("settings_reloaded").text());
 }
 
@@ -559,12 +464,11 @@
     if (elapsed < kAcceptAfterStop)
         return;
     callers_->stopAccepting();
-    const bool isIdle = services_.open.empty() && callers_->openExchanges() == 0;
+    const bool isIdle = services_.open.empty() && callers_->connectionCount() == 0;
     if (!isIdle && elapsed < limit)
         return;
     log_.write(LogLine("shutdown_finished").add("open", services_.open.size()).text());
-    registration_->stop();
-    sendReport(true);
+    exchange_->sayGoodbye();
     loop_.stop();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,14 +2,12 @@
 #define CROCUSPORT_GATEWAY_H
 
 #include "gatewayservices.h"
-#include "loadexchange.h"
 #include "registration.h"
+#include "routerexchange.h"
 #include "storefeed.h"
 
-#include "crocusport/transport/datagramsocket.h"
 #include "crocusport/transport/httpserver.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -58,19 +56,17 @@
     bool onServer(const BackendServerName &name, const StoreChange &change);
     bool updateServer(const ServerEntry &entry);
     bool removeServer(const BackendServerName &name);
-    void onReport(std::string_view datagram);
-    void hearStore(const StoreKnowledge &knowledge);
-    void scheduleReport();
-    Duration reportInterval() const;
-    void sendZoneSum();
-    void noteZoneChain(ServerHash server, ChainHash chain);
-    LoadReport makeReport();
-    void paceStoreCalls();
-    void sendReport(bool isLeaving);
+    //! The server has said so in an answer, to this router or to another.
+    void onServerLeaving(KnownServer &server, std::string_view source);
+    Result<void> startExchange();
+    void onLoadChanged();
+    void updateRegistration();
+    StorePlan::Limits planLimits() const;
+    bool isKnowledgeFresh();
+    std::optional<StoreChanges> storeChanges(StoreRevision after) const;
     void noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash);
     Duration configurationAge() const;
     RetryWindow &retryWindow(const PoolName &pool);
-    std::size_t routerCount() const;
     void answerReady(HttpExchange &exchange) const;
     void answerMetrics(HttpExchange &exchange);
     void tick();
@@ -84,37 +80,28 @@
     std::mt19937_64 random_;
     HttpClient backends_;
     HttpClient storeClient_;
+    HttpClient routerClient_;
     ServerDirectory directory_;
     PrefixMemory prefixes_;
     ServerSelector selector_;
     WaitingList waiting_;
     SilenceLimits silence_;
     CrashLedger crashes_;
+    AnswerMemory answerMemory_;
     RequestMetrics metrics_;
-    PeerLoads peers_;
     std::shared_ptr<const RoutingTable> table_;
     std::unordered_map<PoolName, RetryWindow> retryWindows_;
     std::map<BackendServerName, Instant> delayedRemovals_;
     std::unique_ptr<HttpServer> ready_;
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> metricsServer_;
-    std::unique_ptr<DatagramSocket> reports_;
+    std::unique_ptr<RouterExchange> exchange_;
     std::unique_ptr<StoreFeed> feed_;
     std::unique_ptr<Registration> registration_;
     Timer tickTimer_;
-    Timer reportTimer_;
     Timer waitingTimer_;
-    Instant reportedAt_;
-    Instant zoneReportedAt_;
-    StoreRevision reportedRevision_ = 0;
-    Duration tickedAt_ {};         //!< Boot time of the last tick.
-    Duration ignoreStoreUntil_ {}; //!< Boot time; reports read before may have waited in a queue.
+    Instant startedAt_ = monotonicNow();
     Instant nextHousekeeping_;
-    std::uint64_t reportSequence_ = 0;
-    std::vector<std::pair<ServerHash, ChainHash>> newChains_;
-    std::vector<std::pair<ServerHash, std::uint32_t>> newPaces_;
-    std::vector<std::pair<ServerHash, ChainHash>> zoneChains_; //!< Of all routers of the zone.
-    std::deque<std::pair<Instant, CrashSuspicion>> suspicions_;
     std::optional<Instant> stopRequestedAt_;
     GatewayServices services_; //!< Last, since requests use all the rest when they are destroyed.
 };
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_GATEWAYSERVICES_H
 #define CROCUSPORT_GATEWAYSERVICES_H
 
+#include "answermemory.h"
 #include "formattable.h"
 #include "prefixmemory.h"
 #include "retrywindow.h"
@@ -40,6 +41,7 @@
     WaitingList &waiting;
     SilenceLimits &silence;
     CrashLedger &crashes;
+    AnswerMemory &answerMemory;
     RequestMetrics &metrics;
     LogWriter &log;
     std::mt19937_64 &random;
@@ -47,6 +49,9 @@
     std::function<std::shared_ptr<const RoutingTable>()> table; //!< Null before the first.
     //! Time since the router knew the newest configuration for sure.
     std::function<Duration()> configurationAge;
+    //! Whether what is known of servers and routes is new enough to place requests; asks the store
+    //! if not.
+    std::function<bool()> isKnowledgeFresh;
     std::function<std::size_t()> routerCount;
     std::function<RetryWindow &(const PoolName &)> retryWindow;
     //! The load of a server has changed, and what others should know with it.
@@ -54,6 +59,10 @@
     std::function<void(ServerHash, ChainHash)> chainSent;
     std::function<void(Fingerprint, const std::string &crash)> crashSuspected;
     std::function<void(KnownServer &, double ms)> paceSeen;
+    //! Mean age of the loads that other routers have reported.
+    std::function<Duration()> loadAge;
+    //! The server has said that it leaves.
+    std::function<void(KnownServer &)> serverLeaves;
 
     std::unordered_set<std::shared_ptr<ForwardedRequest>> open; //!< Without their final answer.
 };
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -13,6 +13,8 @@
 constexpr double kMaxPort = 65'535;
 constexpr double kMinuteMs = 60'000;
 constexpr double kHourS = 3600;
+constexpr double kMaxSeeds = 100;
+constexpr double kMaxAnswersMb = 65'536;
 constexpr double kMaxRetrySlack = 1'000'000;
 constexpr std::array<std::string_view, 2> kYesNo = { "false", "true" };
 
@@ -56,6 +58,16 @@
                   kStore<&GatewaySettings::reportPort>),
         portEntry("internal.metrics_port", "TCP port of the metrics; 0 serves none.",
                   kStore<&GatewaySettings::metricsPort>),
+        { { "peers.seeds",
+            KeyType::AddressList,
+            KeyNeed::Optional,
+            {},
+            {},
+            0,
+            kMaxSeeds,
+            {},
+            "Some routers to meet the others by; of each address only the host counts." },
+          kStore<&GatewaySettings::seeds> },
         addressEntry("store.address", "The platform's key-value store.",
                      kStore<&GatewaySettings::store>),
     };
@@ -76,6 +88,9 @@
             [](GatewaySettings &settings, const KeyValue &value) {
                 settings.isRevocationStrict = choiceOf<bool>(kYesNo, value);
             }),
+        integerEntry<GatewaySettings>("bounds.leaving_ms", "ms", "2000", 100, kMinuteMs,
+                                      "Time after which a leaving server gets no more requests.",
+                                      kStore<&GatewaySettings::leavingBound>),
         integerEntry<GatewaySettings>("bounds.configuration_ms", "ms", "2000", 100, kMinuteMs,
                                       "Time in which a new configuration is in force.",
                                       kStore<&GatewaySettings::configurationBound>),
@@ -90,6 +105,10 @@
         integerEntry<GatewaySettings>("shutdown.grace_s", "s", "10", 1, kHourS,
                                       "Time from SIGTERM until the process is ended by force.",
                                       kStore<&GatewaySettings::shutdownGrace>),
+        integerEntry<GatewaySettings>(
+            "memory.answers_mb", "MB", "24", 1, kMaxAnswersMb,
+            "Memory for answers that cannot be passed on yet, beyond 16 kB for each.",
+            kStore<&GatewaySettings::answerMemoryMb>),
         integerEntry<GatewaySettings>("report.interval_ms", "ms", "100", 10, kMinuteMs,
                                       "Least time between two load reports to other routers.",
                                       kStore<&GatewaySettings::reportInterval>),
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -1,5 +1,9 @@
 #include "loadexchange.h"
 
+#include "cborstructure.h"
+
+#include "crocusport/protocol/socketaddresstext.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -12,17 +16,20 @@
 
 // A router that is silent for this long has no requests that it will report.
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(2500);
-// A router that does not register is forgotten after this time.
-constexpr Duration kForgetTime = std::chrono::seconds(15);
 // Sensitivities are sent in hundredths.
 constexpr double kSensitivityScale = 100;
 
-// Up to this many routers, each reports to all others.
-constexpr std::size_t kMaxDirectRouters = 16;
+// A report has rows in lists in one list.
+constexpr CborLimits kLimits { 4, 65'536 };
 
-constexpr std::size_t kReportFields = 11;
+constexpr std::size_t kReportFields = 13;
+constexpr std::size_t kNeighbourFields = 3;
 constexpr unsigned kLeavingFlag = 1;
 constexpr unsigned kZoneFlag = 2;
+constexpr unsigned kAskingFlag = 4;
+constexpr unsigned kRelayedFlag = 8;
+// Larger sizes are taken for a mistake.
+constexpr std::size_t kMaxZoneSize = 10'000;
 constexpr std::size_t kLoadFields = 5;
 constexpr std::size_t kPairFields = 2;
 
@@ -67,25 +74,32 @@
     auto suspicions = Json::array();
     for (const auto &suspicion : report.suspicions)
         suspicions.push_back({ suspicion.fingerprint.value(), suspicion.crash });
+    auto leaving = Json::array();
+    for (const auto &[server, start] : report.leaving)
+        leaving.push_back({ server, start.value() });
     auto store = Json::array();
     if (report.store)
-        store = Json::array({ report.store->revision, report.store->age.count() });
+        store = Json::array({ report.store->relevant, report.store->age.count() });
     const auto flags = (report.isLeaving ? kLeavingFlag : 0U)
-        | (report.scope == ReportScope::Zone ? kZoneFlag : 0U);
-    const Json message = Json::array({ report.router.name.value(), report.router.address.value(),
-                                       report.router.zone.value(), report.sequence, flags,
-                                       std::move(loads), std::move(chains), std::move(suspicions),
-                                       std::move(store), report.broken, report.paces });
+        | (report.scope == ReportScope::Zone ? kZoneFlag : 0U)
+        | (report.isAsking ? kAskingFlag : 0U) | (report.isRelayed ? kRelayedFlag : 0U);
+    const Json message = Json::array(
+        { report.router.name.value(), report.router.address.value(), report.router.zone.value(),
+          report.sequence, flags, std::move(loads), std::move(chains), std::move(suspicions),
+          std::move(store), report.broken, report.paces, std::move(leaving), report.zoneSize });
     const auto bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
 
 Result<LoadReport> decodeLoadReport(std::string_view bytes)
 {
+    // The decoder calls itself for each level, so deep nesting is refused before.
+    if (const auto fault = findCborFault(bytes, kLimits); !fault.empty())
+        return makeError(ResultCode::MalformedMessage, "load report: " + std::string(fault));
     const auto json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
     if (!isArrayOf(json, kReportFields) || !json[5].is_array() || !json[6].is_array()
-        || !json[7].is_array() || !json[8].is_array() || !json[9].is_array()
-        || !json[10].is_array())
+        || !json[7].is_array() || !json[8].is_array() || !json[9].is_array() || !json[10].is_array()
+        || !json[11].is_array())
         return makeError(ResultCode::MalformedMessage, "load report has another form");
     LoadReport report;
     report.router.name = RouterName(text(json[0]));
@@ -93,16 +107,23 @@
     report.router.zone = AvailabilityZone(text(json[2]));
     report.sequence = number(json[3]);
     report.isLeaving = (number(json[4]) & kLeavingFlag) != 0;
+    report.isAsking = (number(json[4]) & kAskingFlag) != 0;
+    report.isRelayed = (number(json[4]) & kRelayedFlag) != 0;
+    report.zoneSize = std::min<std::size_t>(number(json[12]), kMaxZoneSize);
     report.scope = (number(json[4]) & kZoneFlag) != 0 ? ReportScope::Zone : ReportScope::Router;
     if (isArrayOf(json[8], kPairFields))
-        report.store =
-            StoreKnowledge { static_cast<StoreRevision>(number(json[8][0])),
-                             Milliseconds(static_cast<std::int64_t>(number(json[8][1]))) };
+        report.store = StoreHint { static_cast<StoreRevision>(number(json[8][0])),
+                                   Milliseconds(static_cast<std::int64_t>(number(json[8][1]))) };
     for (const auto &row : json[10]) {
         if (isArrayOf(row, kPairFields))
             report.paces.emplace_back(static_cast<ServerHash>(number(row[0])),
                                       static_cast<std::uint32_t>(number(row[1])));
     }
+    for (const auto &row : json[11]) {
+        if (isArrayOf(row, kPairFields))
+            report.leaving.emplace_back(static_cast<ServerHash>(number(row[0])),
+                                        StartNumber(number(row[1])));
+    }
     for (const auto &server : json[9])
         report.broken.push_back(static_cast<ServerHash>(number(server)));
     if (report.router.name.value().empty())
@@ -123,16 +144,42 @@
     return report;
 }
 
+std::string encodeNeighbours(const std::vector<RouterEntry> &routers)
+{
+    auto rows = Json::array();
+    for (const auto &router : routers)
+        rows.push_back({ router.name.value(), router.address.value(), router.zone.value() });
+    const auto bytes = Json::to_cbor(Json::array({ std::move(rows) }));
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<std::vector<RouterEntry>> decodeNeighbours(std::string_view bytes)
+{
+    if (!findCborFault(bytes, kLimits).empty())
+        return std::nullopt;
+    const auto json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!isArrayOf(json, 1) || !json[0].is_array())
+        return std::nullopt;
+    std::vector<RouterEntry> routers;
+    for (const auto &row : json[0]) {
+        if (!isArrayOf(row, kNeighbourFields) || !isSocketAddressText(text(row[1])))
+            return std::nullopt;
+        routers.push_back({ RouterName(text(row[0])), SocketAddress(text(row[1])),
+                            AvailabilityZone(text(row[2])) });
+    }
+    return routers;
+}
+
 bool PeerLoads::Loads::isCurrent(Instant now) const
 {
     return heard && now - *heard <= kSilenceLimit;
 }
 
-void PeerLoads::replace(Loads &loads, const LoadReport &report, Instant now)
+bool PeerLoads::replace(Loads &loads, const LoadReport &report, Instant now)
 {
     // A lower number long after the last report is that of a router that has started again.
     if (loads.heard && report.sequence <= loads.sequence && loads.isCurrent(now))
-        return;
+        return false;
     for (const auto &[hash, load] : loads.loads) {
         if (const auto server = directory_.find(hash))
             server->others -= load;
@@ -143,6 +190,7 @@
     for (const auto &[server, load] : report.loads)
         loads.loads[server] = load;
     add(loads.loads);
+    return true;
 }
 
 void PeerLoads::add(const std::unordered_map<ServerHash, ServerLoad> &loads)
@@ -153,50 +201,28 @@
     }
 }
 
-void PeerLoads::take(const LoadReport &report, Instant now)
+bool PeerLoads::take(const LoadReport &report, Instant now)
 {
-    if (report.scope == ReportScope::Zone) {
-        replace(zones_[report.router.zone], report, now);
-        return;
-    }
+    if (report.scope == ReportScope::Zone)
+        return report.router.zone != zone_ && replace(zones_[report.router.zone], report, now);
     if (report.isLeaving) {
         peers_.erase(report.router.name);
         refresh(now);
-        return;
+        return true;
     }
     auto &peer = peers_[report.router.name];
     peer.router = report.router;
-    replace(peer.own, report, now);
-}
-
-void PeerLoads::addRouter(const RouterEntry &router)
-{
-    auto &peer = peers_[router.name];
-    peer.router = router;
-    peer.isRegistered = true;
-}
-
-void PeerLoads::removeRouter(const RouterName &router)
-{
-    const auto found = peers_.find(router);
-    if (found != peers_.end())
-        found->second.isRegistered = false;
+    return replace(peer.own, report, now);
 }
 
 // Sums up anew, so that what a lost server or router leaves behind does not stay.
 void PeerLoads::refresh(Instant now)
 {
-    std::erase_if(peers_, [&](const auto &item) {
-        const auto &peer = item.second;
-        return !peer.isRegistered && (!peer.own.heard || now - *peer.own.heard > kForgetTime);
-    });
+    std::erase_if(peers_, [&](const auto &item) { return !item.second.own.isCurrent(now); });
     directory_.forEach(
         [](const ServerDirectory::ServerPointer &server) { server->others = ServerLoad(); });
-    for (auto &[name, peer] : peers_) {
-        if (!peer.own.isCurrent(now))
-            peer.own.loads.clear();
+    for (const auto &[name, peer] : peers_)
         add(peer.own.loads);
-    }
     for (auto &[zone, loads] : zones_) {
         if (!loads.isCurrent(now))
             loads.loads.clear();
@@ -204,51 +230,12 @@
     }
 }
 
-bool PeerLoads::isDirect() const
-{
-    return peers_.size() < kMaxDirectRouters;
-}
-
-bool PeerLoads::isNear(const Peer &peer) const
-{
-    return isDirect() || peer.router.zone == zone_;
-}
-
-bool PeerLoads::isRepresentative(const RouterName &self, Instant now) const
-{
-    for (const auto &[name, peer] : peers_) {
-        if (name < self && peer.router.zone == zone_ && peer.own.isCurrent(now))
-            return false;
-    }
-    return true;
-}
-
-std::size_t PeerLoads::currentNearCount(Instant now) const
+Duration PeerLoads::meanAge(Instant now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(peers_.begin(), peers_.end(), [&](const auto &item) {
-            return isNear(item.second) && item.second.own.isCurrent(now);
-        }));
-}
-
-std::vector<RouterEntry> PeerLoads::nearRouters() const
-{
-    std::vector<RouterEntry> routers;
-    for (const auto &[name, peer] : peers_) {
-        if (isNear(peer))
-            routers.push_back(peer.router);
-    }
-    return routers;
-}
-
-std::vector<RouterEntry> PeerLoads::farRouters() const
-{
-    std::vector<RouterEntry> routers;
-    for (const auto &[name, peer] : peers_) {
-        if (!isNear(peer))
-            routers.push_back(peer.router);
-    }
-    return routers;
+    Duration sum {};
+    for (const auto &[name, peer] : peers_)
+        sum += now - peer.own.heard.value_or(now);
+    return peers_.empty() ? sum : sum / static_cast<std::int64_t>(peers_.size());
 }
 
 std::unordered_map<ServerHash, ServerLoad> PeerLoads::zoneLoads(Instant now) const
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_LOADEXCHANGE_H
 
 #include "prefixmemory.h"
+#include "routerdirectory.h"
 #include "serverdirectory.h"
 
 #include "crocusport/coordination/keyvaluestore.h"
@@ -30,13 +31,6 @@
     Zone,   //!< Those of all routers of its availability zone.
 };
 
-//! How far a router has read the store's changes.
-struct StoreKnowledge
-{
-    StoreRevision revision = 0; //!< Of the last change that was more than a sign of life.
-    Milliseconds age {};        //!< Since the router was sure that there is no later one.
-};
-
 /*!
     What a router tells the others of its requests. Each report holds the whole load, so that a lost
     datagram is made good by the next one.
@@ -47,9 +41,14 @@
     std::uint64_t sequence = 0;
     ReportScope scope = ReportScope::Router;
     bool isLeaving = false;
-    std::optional<StoreKnowledge> store;
+    bool isAsking = false;    //!< The router wants to know its neighbours.
+    bool isRelayed = false;   //!< Another router of this zone has received it, and passes it on.
+    std::size_t zoneSize = 0; //!< Routers of the zone, where the report is of a whole one.
+    std::optional<StoreHint> store;
     std::vector<std::pair<ServerHash, std::uint32_t>> paces; //!< Samples in tenths of a ms.
     std::vector<ServerHash> broken; //!< Servers to which connections broke a moment ago.
+    //! Servers that have said in an answer that they leave, each with its start.
+    std::vector<std::pair<ServerHash, StartNumber>> leaving;
     std::vector<std::pair<ServerHash, ServerLoad>> loads;
     std::vector<std::pair<ServerHash, ChainHash>> chains; //!< Sent since the last report.
     std::vector<CrashSuspicion> suspicions;               //!< Of the last seconds.
@@ -60,12 +59,17 @@
 //! Fails with MalformedMessage. Safe from any thread.
 Result<LoadReport> decodeLoadReport(std::string_view bytes);
 
+//! Encodes what a router tells one that asks for its neighbours. Safe from any thread.
+std::string encodeNeighbours(const std::vector<RouterEntry> &routers);
+//! Returns the routers, or none when \a bytes are no such message. Safe from any thread.
+std::optional<std::vector<RouterEntry>> decodeNeighbours(std::string_view bytes);
+
 /*!
-    The other routers, and the loads that they report. Adds these to the servers of a directory.
+    The loads that other routers report. Adds these to the servers of a directory.
 
     In a large fleet, the routers of one availability zone report to each other, and one of them
-    tells the other zones the sum at a slower pace: reports of all to all would fill small links,
-    and bytes between zones are dear.
+    tells one of each other zone the sum at a slower pace, which passes it on: reports of all to all
+    would fill small links, and bytes between zones are dear.
 
     Thread safety: none; use from one thread.
 */
@@ -76,27 +80,17 @@
         : directory_(directory), zone_(std::move(zone))
     { }
 
-    //! Takes a report; one that is older than the last of its router is ignored.
-    void take(const LoadReport &report, Instant now);
-    //! Adds or updates a router that has registered.
-    void addRouter(const RouterEntry &router);
-    void removeRouter(const RouterName &router);
+    /*!
+        Takes a report; one that is older than the last of its router is ignored, as is a sum of
+        this router's own zone. Returns whether it was new.
+    */
+    bool take(const LoadReport &report, Instant now);
     //! Forgets loads of routers that are silent, and sums up the rest.
     void refresh(Instant now);
-
-    //! Whether the fleet is small enough that all routers report to all.
-    bool isDirect() const;
-    //! Whether \a self reports for its zone: it has the first name of those that are heard.
-    bool isRepresentative(const RouterName &self, Instant now) const;
-    //! Routers that get the reports of this one.
-    std::vector<RouterEntry> nearRouters() const;
-    //! Routers that get the sums of this zone.
-    std::vector<RouterEntry> farRouters() const;
     //! Loads that routers of this zone have reported, by server.
     std::unordered_map<ServerHash, ServerLoad> zoneLoads(Instant now) const;
-    std::size_t count() const { return peers_.size(); }
-    //! Routers that report to this one and were heard a moment ago.
-    std::size_t currentNearCount(Instant now) const;
+    //! Mean age of what routers have reported themselves; zero without any.
+    Duration meanAge(Instant now) const;
 
 private:
     struct Loads
@@ -111,11 +105,9 @@
     {
         RouterEntry router;
         Loads own;
-        bool isRegistered = false;
     };
 
-    bool isNear(const Peer &peer) const;
-    void replace(Loads &loads, const LoadReport &report, Instant now);
+    bool replace(Loads &loads, const LoadReport &report, Instant now);
     void add(const std::unordered_map<ServerHash, ServerLoad> &loads);
 
     ServerDirectory &directory_;
--- a/src/gateway/registration.h
+++ b/src/gateway/registration.h
@@ -2,33 +2,40 @@
 #define CROCUSPORT_REGISTRATION_H
 
 #include "formattable.h"
+#include "storemirror.h"
 
-#include "crocusport/transport/timer.h"
-
-#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusport {
 
 /*!
-    Keeps this router's entry in the store under a lease, so that other routers find it and forget
-    it when it ends.
+    Keeps the entries of a few routers in the store, so that routers that start find one of them,
+    and zones find each other. An entry stays when its router ends: most come back at the same
+    address, and an entry that is there need not be written. Those that do not come back are removed
+    by the first router of their zone.
 
-    Thread safety: loop thread only. Loop and HTTP client must outlive the registration.
+    Thread safety: loop thread only. Loop, HTTP client and formats must outlive the registration.
 */
 class Registration
 {
 public:
-    Registration(EventLoop &loop, HttpClient &client, const FormatTable &formats,
-                 SocketAddress store, const RouterEntry &router);
+    Registration(HttpClient &client, const FormatTable &formats, SocketAddress store,
+                 const RouterEntry &router);
 
     Registration(const Registration &) = delete;
     Registration &operator=(const Registration &) = delete;
 
-    //! Stops the renewal; the entry goes when its lease ends.
-    void stop();
+    /*!
+        Writes this router's entry if \a isWanted and \a mirror does not hold it, or else removes
+       one of \a lapsed; one call at a time, and none sooner than its result must be in the mirror.
+    */
+    void update(const StoreMirror &mirror, bool isWanted, const std::vector<RouterName> &lapsed,
+                Duration now);
+    std::uint64_t calls() const { return calls_; }
+
     //! Whether \a key is that of a router's entry.
     static bool isRouterKey(const std::string &key);
     //! Returns the entry that \a key and \a value hold, if they are one.
@@ -36,21 +43,16 @@
     static RouterName routerOfKey(const std::string &key);
 
 private:
-    enum class Step { Grant, Put, Renew };
-
-    void call();
-    void onEnd(const HttpCallEnd &end);
+    void start(HttpCallRequest request, Duration now);
 
     HttpClient &client_;
     const FormatTable &formats_;
     SocketAddress store_;
     std::string key_;
     std::string value_;
-    Timer timer_;
-    Step step_ = Step::Grant;
-    std::uint64_t lease_ = 0;
+    Duration notBefore_ {};
     std::unique_ptr<HttpCall> call_;
-    std::string body_;
+    std::uint64_t calls_ = 0;
 };
 
 } // namespace crocusport
--- a/src/gateway/requestaccount.h
+++ b/src/gateway/requestaccount.h
@@ -45,6 +45,8 @@
     Duration attemptTime(Instant now) const { return now - attemptAt_; }
     //! Mean time between the events of the attempt; none when there are too few to tell.
     std::optional<double> eventPaceMs(Instant now) const;
+    //! Longest time between two events so far.
+    Duration longestPause() const { return longestPause_; }
     std::uint64_t events() const { return events_; }
     Lateness lateness(const Route &route, bool isCompleted, Instant now) const;
 
--- /dev/null
+++ b/src/gateway/routerdirectory.cpp
@@ -0,0 +1,229 @@
+#include "routerdirectory.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace crocusport {
+
+namespace {
+
+// A router reports at least twice a second; one that is silent for this long has probably ended.
+constexpr Duration kSilenceLimit = std::chrono::milliseconds(2500);
+// A router that is neither registered nor heard is forgotten after this time.
+constexpr Duration kForgetTime = std::chrono::seconds(15);
+// A router that did not answer is not asked again for this long.
+constexpr Duration kNoAnswerPause = std::chrono::seconds(2);
+// Sizes of zones are remembered through partitions, since budgets are divided by them.
+constexpr Duration kZoneSizeMemory = std::chrono::seconds(120);
+// Up to this many routers, each reports to all others.
+constexpr std::size_t kMaxDirectRouters = 16;
+// Routers of another zone that get the sums of this one by turns.
+constexpr std::size_t kFarRoutersPerZone = 2;
+
+} // namespace
+
+bool RouterDirectory::Known::isHeard(Duration now) const
+{
+    return heard && now - *heard <= kSilenceLimit;
+}
+
+void RouterDirectory::hear(const RouterEntry &router, const std::optional<StoreHint> &hint,
+                           Duration now)
+{
+    if (router.name == self_)
+        return;
+    auto &known = routers_[router.name];
+    known.router = router;
+    known.heard = now;
+    known.known = now;
+    if (hint) {
+        known.hintRevision = hint->relevant;
+        known.hintContact = now - hint->age;
+    } else {
+        known.hintRevision.reset();
+    }
+}
+
+void RouterDirectory::learn(const RouterEntry &router, Duration now)
+{
+    if (router.name == self_)
+        return;
+    auto &known = routers_[router.name];
+    if (known.router.address != router.address)
+        known.router = router;
+    known.known = now;
+}
+
+void RouterDirectory::addRegistered(const RouterEntry &router, Duration now)
+{
+    learn(router, now);
+    if (router.name != self_)
+        routers_[router.name].isRegistered = true;
+}
+
+void RouterDirectory::removeRegistered(const RouterName &router)
+{
+    const auto found = routers_.find(router);
+    if (found != routers_.end())
+        found->second.isRegistered = false;
+}
+
+void RouterDirectory::remove(const RouterName &router)
+{
+    const auto found = routers_.find(router);
+    if (found == routers_.end())
+        return;
+    found->second.heard.reset();
+    found->second.hintRevision.reset();
+}
+
+void RouterDirectory::noteAnswer(const RouterName &router, const StoreHint &hint, Duration now)
+{
+    const auto found = routers_.find(router);
+    if (found == routers_.end())
+        return;
+    found->second.heard = now;
+    found->second.hintRevision = hint.relevant;
+    found->second.hintContact = std::max(found->second.hintContact, now - hint.age);
+    found->second.avoidedUntil = Duration::zero();
+}
+
+void RouterDirectory::noteNoAnswer(const RouterName &router, Duration now)
+{
+    const auto found = routers_.find(router);
+    if (found != routers_.end())
+        found->second.avoidedUntil = now + kNoAnswerPause;
+}
+
+void RouterDirectory::noteZoneSize(const AvailabilityZone &zone, std::size_t size, Duration now)
+{
+    if (zone != zone_)
+        zoneSizes_[zone] = { size, now };
+}
+
+void RouterDirectory::expire(Duration now)
+{
+    std::erase_if(routers_, [&](const auto &item) {
+        const auto &known = item.second;
+        return !known.isRegistered && now - known.known > kForgetTime;
+    });
+    std::erase_if(zoneSizes_,
+                  [&](const auto &item) { return now - item.second.at > kZoneSizeMemory; });
+}
+
+bool RouterDirectory::isDirect() const
+{
+    return fleetSize() <= kMaxDirectRouters;
+}
+
+bool RouterDirectory::isNear(const Known &known) const
+{
+    return known.router.zone == zone_ || isDirect();
+}
+
+std::vector<RouterEntry> RouterDirectory::near() const
+{
+    std::vector<RouterEntry> routers;
+    const bool isAll = isDirect();
+    for (const auto &[name, known] : routers_) {
+        if (isAll || known.router.zone == zone_)
+            routers.push_back(known.router);
+    }
+    return routers;
+}
+
+std::vector<RouterEntry> RouterDirectory::neighboursOf(const RouterEntry &asker, Duration now) const
+{
+    std::vector<RouterEntry> routers;
+    const bool isAll = isDirect();
+    for (const auto &[name, known] : routers_) {
+        if (known.isHeard(now) && name != asker.name && (isAll || known.router.zone == asker.zone))
+            routers.push_back(known.router);
+    }
+    return routers;
+}
+
+std::size_t RouterDirectory::heardNear(Duration now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(routers_.begin(), routers_.end(), [&](const auto &item) {
+            return item.second.isHeard(now) && isNear(item.second);
+        }));
+}
+
+std::size_t RouterDirectory::rank(Duration now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(routers_.begin(), routers_.lower_bound(self_), [&](const auto &item) {
+            return item.second.isHeard(now) && isNear(item.second);
+        }));
+}
+
+std::optional<RouterEntry> RouterDirectory::source(bool isAnyRank, Duration maxAge,
+                                                   Duration now) const
+{
+    for (const auto &[name, known] : routers_) {
+        if (name > self_ && !isAnyRank)
+            break;
+        if (known.isHeard(now) && isNear(known) && known.hintRevision
+            && now - known.hintContact <= maxAge && known.avoidedUntil <= now)
+            return known.router;
+    }
+    return std::nullopt;
+}
+
+StoreRevision RouterDirectory::latestHint(Duration now) const
+{
+    StoreRevision latest = 0;
+    for (const auto &[name, known] : routers_) {
+        if (known.isHeard(now) && known.hintRevision && isNear(known))
+            latest = std::max(latest, *known.hintRevision);
+    }
+    return latest;
+}
+
+std::vector<RouterEntry> RouterDirectory::farRouters(std::uint64_t turn) const
+{
+    std::map<AvailabilityZone, std::vector<const Known *>> zones;
+    for (const auto &[name, known] : routers_) {
+        if (known.router.zone != zone_)
+            zones[known.router.zone].push_back(&known);
+    }
+    std::vector<RouterEntry> routers;
+    for (auto &[zone, known] : zones) {
+        // Registered ones live long, others may have been met by chance.
+        std::stable_partition(known.begin(), known.end(),
+                              [](const Known *router) { return router->isRegistered; });
+        const auto count = std::min(known.size(), kFarRoutersPerZone);
+        routers.push_back(known[turn % count]->router);
+    }
+    return routers;
+}
+
+std::vector<RouterName> RouterDirectory::lapsed(Duration silence, Duration now) const
+{
+    std::vector<RouterName> names;
+    for (const auto &[name, known] : routers_) {
+        if (known.isRegistered && known.router.zone == zone_
+            && now - std::max(known.heard.value_or(Duration::zero()), known.known) > silence)
+            names.push_back(name);
+    }
+    return names;
+}
+
+// Zones that have not said their size count with those of their routers that are known.
+std::size_t RouterDirectory::fleetSize() const
+{
+    std::map<AvailabilityZone, std::size_t> zones;
+    zones[zone_] = 1;
+    for (const auto &[name, known] : routers_)
+        ++zones[known.router.zone];
+    std::size_t size = 0;
+    for (auto &[zone, count] : zones) {
+        const auto said = zoneSizes_.find(zone);
+        size += said == zoneSizes_.end() ? count : std::max(count, said->second.size);
+    }
+    return size;
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/routerexchange.cpp
@@ -0,0 +1,331 @@
+#include "routerexchange.h"
+
+#include "logline.h"
+#include "uptime.h"
+
+#include "crocusport/transport/eventloop.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
+// Routers without a change report this often, so that others know that they live.
+constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
+// A zone of 28 routers with links of 10 Mbit/s spends about 1 % of them on reports.
+constexpr Duration kReportIntervalPerRouter = std::chrono::milliseconds(12);
+// Sums go to other zones over dear links.
+constexpr Duration kZoneReportInterval = std::chrono::seconds(1);
+// A router that starts asks for neighbours this often, and later now and then, so that groups that
+// have not met join.
+constexpr Duration kMinAskingInterval = std::chrono::milliseconds(100);
+constexpr Duration kMaxAskingInterval = std::chrono::milliseconds(2000);
+// Suspicions are repeated for this long, since datagrams may be lost.
+constexpr Duration kSuspicionRepeatTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxReportedChains = 64;
+constexpr std::size_t kMaxReportedPaces = 32;
+constexpr double kPaceUnitsPerMs = 10;
+// Of one second in a zone; a datagram of this many takes about 6 kB.
+constexpr std::size_t kMaxZoneChains = 512;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+//! Returns the host of \a address with the port of \a other, which all routers share.
+SocketAddress withPortOf(const SocketAddress &address, const SocketAddress &other)
+{
+    const auto host = address.value().substr(0, address.value().rfind(':'));
+    return SocketAddress(host + other.value().substr(other.value().rfind(':')));
+}
+
+} // namespace
+
+Result<std::unique_ptr<RouterExchange>> RouterExchange::create(EventLoop &loop, Parts parts)
+{
+    std::unique_ptr<RouterExchange> exchange(new RouterExchange(loop, std::move(parts)));
+    BOOST_LEAF_CHECK(exchange->listen(loop));
+    return exchange;
+}
+
+RouterExchange::RouterExchange(EventLoop &loop, Parts parts)
+    : parts_(std::move(parts)), routers_(parts_.settings.router, parts_.settings.zone),
+      loads_(parts_.servers, parts_.settings.zone),
+      reportTimer_(loop, [this] { sendReport(false); }), reportedAt_(monotonicNow()),
+      nextHousekeeping_(reportedAt_), nextAsking_(reportedAt_), askingPause_(kMinAskingInterval)
+{ }
+
+// Questions and datagrams have one address, so that a router's entry holds one.
+Result<void> RouterExchange::listen(EventLoop &loop)
+{
+    const auto &settings = parts_.settings;
+    const SocketAddress address(settings.ip + ':' + std::to_string(settings.reportPort));
+    BOOST_LEAF_ASSIGN(questions_,
+                      HttpServer::create(loop, address, {},
+                                         [this](const std::shared_ptr<HttpExchange> &exchange) {
+                                             answerQuestion(*exchange);
+                                         }));
+    BOOST_LEAF_ASSIGN(
+        datagrams_,
+        DatagramSocket::create(loop, questions_->address(),
+                               [this](std::string_view bytes) { onDatagram(bytes); }));
+    self_ = { settings.router, datagrams_->address(), settings.zone };
+    return {};
+}
+
+void RouterExchange::answerQuestion(HttpExchange &exchange) const
+{
+    const auto text = exchange.queryParameter("after").value_or("");
+    StoreRevision after = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), after);
+    if (exchange.path() != "/changes" || parsed.ec != std::errc() || after < 0) {
+        exchange.reply(kNotFound, {}, "");
+        return;
+    }
+    if (const auto changes = parts_.storeChanges(after))
+        exchange.reply(kOk, { { "Content-Type", "application/cbor" } },
+                       encodeStoreChanges(*changes));
+    else
+        exchange.reply(kUnavailable, {}, "");
+}
+
+void RouterExchange::onDatagram(std::string_view bytes)
+{
+    if (const auto neighbours = decodeNeighbours(bytes)) {
+        takeNeighbours(*neighbours);
+        return;
+    }
+    handleErrors(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(report, decodeLoadReport(bytes));
+            if (report.router.name != self_.name)
+                takeReport(report);
+            return {};
+        },
+        [&](const Error &error) {
+            parts_.log.write(LogLine("load_report_rejected").add("error", error.message).text());
+        });
+}
+
+void RouterExchange::takeReport(const LoadReport &report)
+{
+    const auto now = monotonicNow();
+    const auto boot = uptime();
+    if (report.scope == ReportScope::Router) {
+        if (report.isLeaving)
+            routers_.remove(report.router.name);
+        else
+            routers_.hear(report.router, report.store, boot);
+    } else {
+        routers_.learn(report.router, boot);
+        routers_.noteZoneSize(report.router.zone, report.zoneSize, boot);
+    }
+    if (report.isAsking)
+        datagrams_->send(report.router.address,
+                         encodeNeighbours(routers_.neighboursOf(report.router, boot)));
+    // A question does not hold the loads.
+    if (!report.isAsking && loads_.take(report, now)) {
+        applyHints(report, now);
+        if (report.scope == ReportScope::Zone && !report.isRelayed)
+            relay(report);
+    }
+    parts_.routersHeard();
+}
+
+void RouterExchange::applyHints(const LoadReport &report, Instant now)
+{
+    for (const auto &[server, chain] : report.chains) {
+        parts_.prefixes.note(server, chain, now);
+        if (report.scope == ReportScope::Router)
+            noteZoneChain(server, chain);
+    }
+    for (const auto &[hash, pace] : report.paces) {
+        if (const auto server = parts_.servers.find(hash))
+            server->pace.note(pace / kPaceUnitsPerMs, now);
+    }
+    for (const auto hash : report.broken) {
+        if (const auto server = parts_.servers.find(hash))
+            server->health.noteBrokenElsewhere(now);
+    }
+    for (const auto &[hash, start] : report.leaving) {
+        const auto server = parts_.servers.find(hash);
+        if (server && server->entry.start == start && !server->isLeaving)
+            parts_.serverLeaves(*server, report.router.name);
+    }
+    for (const auto &suspicion : report.suspicions)
+        parts_.crashes.add(suspicion.fingerprint, suspicion.crash, now);
+}
+
+void RouterExchange::takeNeighbours(const std::vector<RouterEntry> &neighbours)
+{
+    const auto boot = uptime();
+    for (const auto &router : neighbours)
+        routers_.learn(router, boot);
+    // Those that have not heard of this router do so by its report.
+    scheduleReport();
+}
+
+void RouterExchange::relay(LoadReport report)
+{
+    report.isRelayed = true;
+    const auto datagram = encodeLoadReport(report);
+    for (const auto &router : routers_.near())
+        datagrams_->send(router.address, datagram);
+}
+
+// Only the first router of the zone sends them, but any router may become it.
+void RouterExchange::noteZoneChain(ServerHash server, ChainHash chain)
+{
+    if (routers_.isDirect())
+        return;
+    zoneChains_.emplace_back(server, chain);
+    if (zoneChains_.size() > kMaxZoneChains)
+        zoneChains_.erase(zoneChains_.begin(), zoneChains_.begin() + kMaxZoneChains / 2);
+}
+
+void RouterExchange::noteChain(ServerHash server, ChainHash chain)
+{
+    if (newChains_.size() < kMaxReportedChains)
+        newChains_.emplace_back(server, chain);
+    noteZoneChain(server, chain);
+}
+
+void RouterExchange::notePace(ServerHash server, double ms)
+{
+    if (newPaces_.size() < kMaxReportedPaces)
+        newPaces_.emplace_back(server, static_cast<std::uint32_t>(ms * kPaceUnitsPerMs));
+}
+
+void RouterExchange::noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash)
+{
+    suspicions_.emplace_back(monotonicNow(), CrashSuspicion { fingerprint, crash });
+    scheduleReport();
+}
+
+void RouterExchange::refreshLoads()
+{
+    loads_.refresh(monotonicNow());
+}
+
+// The datagrams of a zone grow with the square of its routers; links and processors are small.
+Duration RouterExchange::reportInterval() const
+{
+    const auto routers = static_cast<int>(routers_.near().size());
+    return std::max<Duration>(parts_.settings.reportInterval, kReportIntervalPerRouter * routers);
+}
+
+void RouterExchange::scheduleReport()
+{
+    if (reportTimer_.isActive())
+        return;
+    const auto due = reportedAt_ + reportInterval() - monotonicNow();
+    reportTimer_.startOnce(std::max<Duration>(due, Duration::zero()));
+}
+
+void RouterExchange::report()
+{
+    reportTimer_.stop();
+    sendReport(false);
+}
+
+void RouterExchange::sayGoodbye()
+{
+    sendReport(true);
+}
+
+LoadReport RouterExchange::makeReport()
+{
+    LoadReport report;
+    report.router = self_;
+    report.sequence = ++sequence_;
+    report.store = parts_.storeHint();
+    return report;
+}
+
+void RouterExchange::sendReport(bool isLeaving)
+{
+    const auto now = monotonicNow();
+    reportedAt_ = now;
+    auto report = makeReport();
+    report.isLeaving = isLeaving;
+    parts_.servers.forEach([&](const ServerDirectory::ServerPointer &server) {
+        if (server->own.requests > 0)
+            report.loads.emplace_back(server->hash, server->own);
+        if (server->health.isJustBroken(now))
+            report.broken.push_back(server->hash);
+        if (server->isLeaving)
+            report.leaving.emplace_back(server->hash, server->entry.start);
+    });
+    report.chains = std::exchange(newChains_, {});
+    report.paces = std::exchange(newPaces_, {});
+    while (!suspicions_.empty() && suspicions_.front().first + kSuspicionRepeatTime < now)
+        suspicions_.pop_front();
+    for (const auto &[at, suspicion] : suspicions_)
+        report.suspicions.push_back(suspicion);
+    const auto datagram = encodeLoadReport(report);
+    for (const auto &router : routers_.near())
+        datagrams_->send(router.address, datagram);
+}
+
+void RouterExchange::sendZoneSum(Instant now)
+{
+    zoneReportedAt_ = now;
+    auto report = makeReport();
+    report.scope = ReportScope::Zone;
+    report.zoneSize = routers_.heardNear(uptime()) + 1;
+    auto sums = loads_.zoneLoads(now);
+    parts_.servers.forEach([&](const ServerDirectory::ServerPointer &server) {
+        if (server->own.requests > 0)
+            sums[server->hash] += server->own;
+    });
+    report.loads.assign(sums.begin(), sums.end());
+    report.chains = std::exchange(zoneChains_, {});
+    const auto datagram = encodeLoadReport(report);
+    for (const auto &router : routers_.farRouters(++zoneTurn_))
+        datagrams_->send(router.address, datagram);
+}
+
+// Routers that start do not know each other: they ask the seeds, which are told by the same
+// question that the router is there.
+void RouterExchange::askForNeighbours(Instant now)
+{
+    askingPause_ = std::min(askingPause_ * 2, kMaxAskingInterval);
+    nextAsking_ = now + askingPause_;
+    auto question = makeReport();
+    question.isAsking = true;
+    const auto datagram = encodeLoadReport(question);
+    if (routers_.heardNear(uptime()) == 0) {
+        for (const auto &seed : parts_.settings.seeds) {
+            const auto address = withPortOf(seed, self_.address);
+            if (address != self_.address)
+                datagrams_->send(address, datagram);
+        }
+    }
+    const auto near = routers_.near();
+    if (near.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> drawn(0, near.size() - 1);
+    datagrams_->send(near[drawn(parts_.random)].address, datagram);
+}
+
+void RouterExchange::tick(Instant now)
+{
+    if (now - reportedAt_ >= kIdleReportInterval)
+        report();
+    if (now >= nextAsking_)
+        askForNeighbours(now);
+    if (now - zoneReportedAt_ >= kZoneReportInterval && !routers_.isDirect()
+        && routers_.rank(uptime()) == 0)
+        sendZoneSum(now);
+    if (now >= nextHousekeeping_) {
+        nextHousekeeping_ = now + kHousekeepingInterval;
+        routers_.expire(uptime());
+        loads_.refresh(now);
+    }
+}
+
+} // namespace crocusport
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -100,6 +100,11 @@
     avoidedUntil_ = std::max(avoidedUntil_, now + kReportedAvoidance);
 }
 
+void ServerHealth::notePause(Duration pause, Instant now)
+{
+    pausedUntil_ = std::max(pausedUntil_, now + pause);
+}
+
 bool ServerHealth::isJustBroken(Instant now) const
 {
     return brokenAt_ != Instant() && now - brokenAt_ < kBrokenReportTime;
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -43,6 +43,8 @@
     void noteMisdirected(Instant now);
     //! Another router says that its connection broke.
     void noteBrokenElsewhere(Instant now);
+    //! The server wants nothing from this router for \a pause.
+    void notePause(Duration pause, Instant now);
     //! Whether a connection of this router broke a moment ago.
     bool isJustBroken(Instant now) const;
 
@@ -50,12 +52,15 @@
     bool isAvoided(Instant now) const { return now < avoidedUntil_; }
     //! Whether the server cannot take a request now, however idle it seems.
     bool isUnreachable(Instant now) const { return now < unreachableUntil_; }
+    //! Until when the server wants nothing from this router; in the past if it does not say so.
+    Instant pausedUntil() const { return pausedUntil_; }
     //! Share of failures among the last answers, 0 to 1.
     double failureShare() const { return failureShare_; }
 
 private:
     Instant avoidedUntil_ {};
     Instant unreachableUntil_ {};
+    Instant pausedUntil_ {};
     Instant brokenAt_ {};
     int brokenInRow_ = 0;
     double failureShare_ = 0;
@@ -95,10 +100,12 @@
     double meanRunMs = kUsualRunMs; //!< Of this router's requests, from sending to the end.
     bool isGone = false;            //!< Its entry was removed; requests may still run there.
     bool isSuperseded = false;      //!< A server that started later has its address.
+    //! It has said in an answer, to this router or another, that it leaves; until it starts again.
+    bool isLeaving = false;
 
     bool isUsable() const
     {
-        return !isGone && !isSuperseded && entry.state == BackendServerState::Live;
+        return !isGone && !isSuperseded && !isLeaving && entry.state == BackendServerState::Live;
     }
     ServerLoad load() const;
     //! A request has run to its end in \a time.
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -170,7 +170,7 @@
     std::vector<Candidate> found;
     const auto &servers = directory_.pool(pool);
     const auto isEligible = [&](const ServerDirectory::ServerPointer &server) {
-        return server->isUsable()
+        return server->isUsable() && server->health.pausedUntil() <= now
             && std::find(excluded.begin(), excluded.end(), server->entry.name) == excluded.end();
     };
     // A server that cannot be reached seems idle, and would draw what waits for the others.
@@ -200,6 +200,16 @@
     return found;
 }
 
+Duration ServerSelector::pause(const PoolName &pool, Instant now) const
+{
+    auto shortest = Duration::max();
+    for (const auto &server : directory_.pool(pool)) {
+        if (server->isUsable())
+            shortest = std::min(shortest, server->health.pausedUntil() - now);
+    }
+    return shortest == Duration::max() ? Duration::zero() : std::max(shortest, Duration::zero());
+}
+
 ServerSelector::Choice ServerSelector::choose(const PoolName &pool, const PoolEntry *entry,
                                               const WorkProfile &profile,
                                               const std::vector<BackendServerName> &excluded,
--- a/src/gateway/serverselector.h
+++ b/src/gateway/serverselector.h
@@ -62,6 +62,12 @@
     Choice choose(const PoolName &pool, const PoolEntry *entry, const WorkProfile &profile,
                   const std::vector<BackendServerName> &excluded, Instant now);
 
+    /*!
+        Returns how long all servers of \a pool that are in use want nothing from this router, zero
+        when one of them takes requests or there are none.
+    */
+    Duration pause(const PoolName &pool, Instant now) const;
+
 private:
     //! A server of the pool that can take the request, with what it has of the prompt.
     struct Candidate
--- a/src/gateway/silencelimits.cpp
+++ b/src/gateway/silencelimits.cpp
@@ -29,6 +29,15 @@
         mean->second += kNewestWeight * (seconds - mean->second);
 }
 
+Duration SilenceLimits::limit(const Route &route, Duration longestPause) const
+{
+    const auto limit = this->limit(route);
+    if (limit == Duration::max())
+        return limit;
+    const auto own = std::chrono::duration<double>(longestPause) * kSilentMeans;
+    return std::max(limit, std::chrono::duration_cast<Duration>(own));
+}
+
 Duration SilenceLimits::limit(const Route &route) const
 {
     if (!route.isIdempotent())
--- a/src/gateway/silencelimits.h
+++ b/src/gateway/silencelimits.h
@@ -25,6 +25,11 @@
     void noteBegin(const std::string &route, Duration waited);
     //! Returns the limit for an attempt on \a route; Duration::max() where it must not run again.
     Duration limit(const Route &route) const;
+    /*!
+        Returns the limit for a stream whose events have come with pauses of up to
+        \a longestPause: one that is slow from its begin is not taken for one that has stopped.
+    */
+    Duration limit(const Route &route, Duration longestPause) const;
 
 private:
     std::unordered_map<std::string, double> meanSeconds_; //!< By route, recent answers foremost.
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -13,83 +13,198 @@
 
 // All items: one prefix costs one call.
 const std::string kAllKeys;
-// Pause after a failed call; short, since keys are refused while the store is not heard. It doubles
-// up to the maximum: calls are priced, and a store that is overloaded needs fewer.
-constexpr Duration kMinFailurePause = std::chrono::milliseconds(200);
-constexpr Duration kMaxFailurePause = std::chrono::milliseconds(1000);
-// Changes often come together; this much after the last call they are read with one.
-constexpr Duration kMinRefreshPause = std::chrono::milliseconds(500);
-// A router that was sure so short a time ago has heard the store itself, or from one that has.
-constexpr Duration kBackAgainTime = std::chrono::milliseconds(1000);
 // Failures for less than this are single calls, in which no entry lapses.
 constexpr Duration kOutageTime = std::chrono::milliseconds(1000);
+// A router of the neighbourhood answers from memory, within milliseconds.
+constexpr Duration kRouterTimeout = std::chrono::milliseconds(300);
+// Largest answer of the store or a router: some versions of a large configuration.
+constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
 } // namespace
 
-StoreFeed::StoreFeed(EventLoop &loop, HttpClient &client, const FormatTable &formats,
-                     Options options, ChangeHandler onChange, ReachHandler onReachChanged)
-    : loop_(loop), client_(client), formats_(formats), options_(std::move(options)),
-      onChange_(std::move(onChange)), onReachChanged_(std::move(onReachChanged)),
+StoreFeed::StoreFeed(EventLoop &loop, HttpClient &storeClient, HttpClient &routerClient,
+                     const FormatTable &formats, RouterDirectory &routers, Options options,
+                     StoreMirror::ChangeHandler onChange, ReachHandler onReachChanged,
+                     NewsHandler onNews)
+    : loop_(loop), storeClient_(storeClient), routerClient_(routerClient), formats_(formats),
+      routers_(routers), options_(std::move(options)), onReachChanged_(std::move(onReachChanged)),
+      onNews_(std::move(onNews)), mirror_(std::move(onChange)), plan_(options_.limits, uptime()),
       timer_(loop, [this] { onTimer(); })
 {
-    timer_.startOnce(Duration::zero());
+    arrange();
+}
+
+void StoreFeed::setLimits(const StorePlan::Limits &limits)
+{
+    options_.limits = limits;
+    plan_.setLimits(limits);
 }
 
 bool StoreFeed::isJustBack() const
 {
-    return isFailing_ || (backSince_ && uptime() < *backSince_ + kReturnTime);
+    return plan_.isStoreFailing() || (backSince_ && uptime() < *backSince_ + kReturnTime);
+}
+
+StoreChanges StoreFeed::changesAfter(StoreRevision after) const
+{
+    auto changes = mirror_.changesAfter(after, uptime());
+    changes.isJustBack = isJustBack();
+    return changes;
+}
+
+std::optional<StoreHint> StoreFeed::hint() const
+{
+    // A router that cannot read the store itself must not be the one that others rely on.
+    if (!mirror_.isComplete() || !mirror_.contact() || plan_.isStoreFailing())
+        return std::nullopt;
+    return StoreHint { mirror_.relevantRevision(),
+                       std::chrono::ceil<Milliseconds>(uptime() - *mirror_.contact()) };
 }
 
 void StoreFeed::onTimer()
 {
     if (call_ && !call_->isEnded()) {
         call_.reset();
-        fail("no answer in time");
+        HttpCallEnd late;
+        late.failure = HttpFailure::ProgressTimeout;
+        onEnd(late);
         return;
     }
-    call();
+    const auto next = plan_.next(routers_, mirror_.revision(), uptime());
+    if (next.at > uptime())
+        callAfter(next.at - uptime());
+    else if (next.router)
+        callRouter(*next.router);
+    else
+        callStore();
+}
+
+// Decides anew when to ask next.
+void StoreFeed::arrange()
+{
+    const auto next = plan_.next(routers_, mirror_.revision(), uptime());
+    callAfter(std::max(next.at - uptime(), Duration::zero()));
+}
+
+void StoreFeed::reconsider()
+{
+    if (!call_ || call_->isEnded())
+        arrange();
+}
+
+void StoreFeed::refresh()
+{
+    plan_.want();
+    reconsider();
 }
 
-void StoreFeed::call()
+void StoreFeed::callAfter(Duration delay)
+{
+    timer_.startOnce(delay);
+}
+
+void StoreFeed::callStore()
 {
     auto request = step_ == Step::Listing ? formats_.rangeCall(kAllKeys, listedAfter_)
-                                          : formats_.watchCall(kAllKeys, revision_);
+                                          : formats_.watchCall(kAllKeys, mirror_.revision());
     request.address = options_.address;
-    request.connectTimeout = options_.callTimeout;
-    request.progressTimeout = options_.callTimeout;
+    request.connectTimeout = options_.limits.callTimeout;
+    request.progressTimeout = options_.limits.callTimeout;
     // A channel on which an answer was lost stays silent, so failures are followed by a new one.
-    if (isFailing_)
+    if (plan_.isStoreFailing())
         request.connection = ConnectionUse::Fresh;
+    asked_.reset();
+    ++storeCalls_;
+    plan_.noteAsked(true, uptime());
+    start(storeClient_, std::move(request));
+}
+
+void StoreFeed::callRouter(const RouterEntry &router)
+{
+    HttpCallRequest request;
+    request.address = router.address;
+    request.target = "/changes?after=" + std::to_string(mirror_.revision());
+    request.connectTimeout = kRouterTimeout;
+    request.progressTimeout = kRouterTimeout;
+    asked_ = router;
+    ++routerCalls_;
+    plan_.noteAsked(false, uptime());
+    start(routerClient_, std::move(request));
+}
+
+void StoreFeed::start(HttpClient &client, HttpCallRequest request)
+{
+    request.maxResponseBytes = kMaxAnswerBytes;
+    // Bounds the whole call, also one whose bytes come slowly.
+    const auto limit = request.progressTimeout * 2;
     body_.clear();
     sentAt_ = uptime();
-    ++startedCalls_;
     HttpCallHandlers handlers;
     handlers.onBody = [this](std::string_view data) { body_ += data; };
     handlers.onEnd = [this](const HttpCallEnd &end) { onEnd(end); };
-    call_ = client_.start(std::move(request), std::move(handlers));
-    // Bounds the whole call, also one whose bytes come slowly.
-    timer_.startOnce(options_.callTimeout * 2);
+    call_ = client.start(std::move(request), std::move(handlers));
+    timer_.startOnce(limit);
 }
 
 void StoreFeed::onEnd(const HttpCallEnd &end)
 {
     timer_.stop();
+    // Also when taking the answer in fails, the next question must follow.
+    arrange();
+    if (asked_)
+        onRouterEnd(end);
+    else
+        onStoreEnd(end);
+}
+
+void StoreFeed::onRouterEnd(const HttpCallEnd &end)
+{
+    const auto router = *asked_;
+    const bool isAnswered = end.failure == HttpFailure::None && end.status == kOk;
+    const bool isGood =
+        isAnswered
+        && handleErrors(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_AUTO(heard, decodeStoreChanges(body_));
+                onHeard(heard);
+                routers_.noteAnswer(router.name, { heard.relevant, heard.age }, uptime());
+                return true;
+            },
+            [](const Error & /*Another router is asked.*/) { return false; });
+    if (!isGood)
+        routers_.noteNoAnswer(router.name, uptime());
+    arrange();
+}
+
+void StoreFeed::onHeard(const StoreChanges &heard)
+{
+    const auto contact = mirror_.contact();
+    const auto relevant = mirror_.relevantRevision();
+    if (heard.isJustBack)
+        backSince_ = std::max(backSince_.value_or(sentAt_), sentAt_);
+    mirror_.addHeard(heard, sentAt_);
+    if (mirror_.isComplete())
+        step_ = Step::Watching;
+    noteNews(contact, relevant);
+}
+
+void StoreFeed::onStoreEnd(const HttpCallEnd &end)
+{
     if (end.failure != HttpFailure::None) {
-        fail(std::string(httpFailureName(end.failure)));
+        failStore(std::string(httpFailureName(end.failure)));
         return;
     }
     if (end.status == kGone && step_ == Step::Watching) {
         step_ = Step::Listing;
         listedAfter_.clear();
-        listRevision_.reset();
-        listed_.clear();
-        timer_.startOnce(Duration::zero());
+        mirror_.beginListing();
+        callStore();
         return;
     }
     if (end.status != kOk) {
-        fail("status " + std::to_string(end.status));
+        failStore("status " + std::to_string(end.status));
         return;
     }
     handleErrors(
@@ -100,116 +215,57 @@
             onPage(page);
             return {};
         },
-        [&](const Error &error) { fail(error.message); });
+        [&](const Error &error) { failStore(error.message); });
 }
 
 void StoreFeed::onPage(const StorePage &page)
 {
-    succeed();
-    for (const auto &change : page.changes) {
-        applyChange(change);
-        if (step_ == Step::Listing) {
-            listed_[change.key] = change.revision;
-            listedAfter_ = change.key;
-        }
-    }
-    if (step_ == Step::Listing) {
-        if (!listRevision_)
-            listRevision_ = page.revision;
-        if (page.hasMore && !page.changes.empty()) {
-            timer_.startOnce(Duration::zero());
-            return;
-        }
-        finishListing();
-    } else {
-        revision_ = std::max(revision_, page.revision);
-    }
-    lastContact_ = sentAt_;
-    const auto elapsed = uptime() - sentAt_;
-    callAfter(std::max(options_.pollInterval - elapsed, Duration::zero()));
-}
-
-// Pages are no snapshot, so the changes since the first page follow.
-void StoreFeed::finishListing()
-{
-    std::vector<std::string> missing;
-    for (const auto &[key, revision] : known_) {
-        if (!listed_.contains(key) && revision <= *listRevision_)
-            missing.push_back(key);
-    }
-    for (const auto &key : missing)
-        applyChange({ key, std::nullopt, *listRevision_ });
-    revision_ = *listRevision_;
-    step_ = Step::Watching;
-    listedAfter_.clear();
-    listRevision_.reset();
-    listed_.clear();
-    isSynchronized_ = true;
-}
-
-void StoreFeed::applyChange(const StoreChange &change)
-{
-    const auto known = known_.find(change.key);
-    if (known != known_.end() && change.revision <= known->second && change.value)
-        return;
-    if (change.value)
-        known_[change.key] = change.revision;
-    else if (known != known_.end() && change.revision >= known->second)
-        known_.erase(known);
-    else
-        return;
-    if (onChange_(change))
-        relevantRevision_ = std::max(relevantRevision_, change.revision);
-}
-
-// What came after the revision up to that time was no more than signs of life. So a router that has
-// read beyond the revision knows the state at that time.
-void StoreFeed::hear(StoreRevision revision, Duration at)
-{
-    if (!isSynchronized_ || step_ == Step::Listing)
-        return;
-    // While the store is out, one router that reaches it again calls the others back.
-    if (isFailing_ && at > uptime() - kBackAgainTime && nextCallAt_ > uptime() + kMinRefreshPause)
-        callAfter(kMinRefreshPause);
-    if (revision <= revision_) {
-        lastContact_ = std::max(lastContact_.value_or(at), at);
+    succeedStore();
+    const auto contact = mirror_.contact();
+    const auto relevant = mirror_.relevantRevision();
+    if (step_ == Step::Watching) {
+        mirror_.addWatched(page, sentAt_);
+        noteNews(contact, relevant);
+        arrange();
         return;
     }
-    refresh();
-}
-
-void StoreFeed::refresh()
-{
-    const bool isCalling = call_ && !call_->isEnded();
-    if (isCalling || isFailing_)
-        return;
-    const auto due = std::max(sentAt_ + kMinRefreshPause, uptime());
-    if (due < nextCallAt_)
-        callAfter(due - uptime());
+    mirror_.addListed(page);
+    if (!page.changes.empty())
+        listedAfter_ = page.changes.back().key;
+    if (!page.hasMore || page.changes.empty()) {
+        mirror_.finishListing();
+        step_ = Step::Watching;
+        listedAfter_.clear();
+    }
+    // Pages prove nothing, so the next one, or the first watch, follows at once.
+    callStore();
 }
 
-void StoreFeed::callAfter(Duration delay)
+// Others rely on what this router knows, and are told at once when it is new.
+void StoreFeed::noteNews(std::optional<Duration> contactBefore, StoreRevision relevantBefore)
 {
-    nextCallAt_ = uptime() + delay;
-    timer_.startOnce(delay);
+    const bool isChanged = mirror_.relevantRevision() != relevantBefore;
+    const bool wasOld =
+        !contactBefore || uptime() - *contactBefore > plan_.interval() + kRouterTimeout;
+    if (isChanged || wasOld)
+        onNews_();
 }
 
-void StoreFeed::fail(const std::string &reason)
+void StoreFeed::failStore(const std::string &reason)
 {
-    if (!std::exchange(isFailing_, true)) {
+    if (!plan_.isStoreFailing()) {
         failingSince_ = uptime();
-        failurePause_ = kMinFailurePause;
         onReachChanged_(reason);
     }
-    callAfter(failurePause_);
-    const auto limit = std::max(kMaxFailurePause, options_.pollInterval);
-    failurePause_ = std::min(failurePause_ * 2, limit);
+    plan_.noteStoreFailed(routers_.rank(uptime()), uptime());
+    arrange();
 }
 
-void StoreFeed::succeed()
+void StoreFeed::succeedStore()
 {
-    if (!std::exchange(isFailing_, false))
+    if (!plan_.isStoreFailing())
         return;
+    plan_.noteStoreAnswered();
     if (uptime() - failingSince_ >= kOutageTime)
         backSince_ = uptime();
     onReachChanged_({});
--- a/src/gateway/storefeed.h
+++ b/src/gateway/storefeed.h
@@ -2,6 +2,8 @@
 #define CROCUSPORT_STOREFEED_H
 
 #include "formattable.h"
+#include "storemirror.h"
+#include "storeplan.h"
 
 #include "crocusport/transport/timer.h"
 
@@ -9,19 +11,16 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 namespace crocusport {
 
 /*!
-    Follows all items of the store: lists them once, then asks at a steady pace for the changes
-    since. One call carries the configuration, the backend servers and the routers, and proves that
-    what is known is no older than the call.
+    Keeps the copy of the store's items new: asks the store, or another router, as the plan says.
+    One watch of all keys carries the configuration, the backend servers and the routers, and proves
+    that what is known is no older than the call. When the store has dropped the history, the items
+    are listed again.
 
-    A change is handed over at most once and in the order of revisions of its key, whatever the
-    store repeats. When the store has dropped the history, the items are listed again.
-
-    Thread safety: loop thread only. Loop and HTTP client must outlive the feed.
+    Thread safety: loop thread only. Loop, HTTP clients and routers must outlive the feed.
 */
 class StoreFeed
 {
@@ -31,78 +30,82 @@
 
     struct Options
     {
-        SocketAddress address;
-        Duration pollInterval {}; //!< Between two calls that succeed.
-        Duration callTimeout {};
+        SocketAddress address; //!< Of the store.
+        StorePlan::Limits limits;
     };
-    //! Returns whether the change is more than a sign of life.
-    using ChangeHandler = std::function<bool(const StoreChange &change)>;
-    //! Called when calls begin to fail, with the reason, and when they succeed again, without.
+    //! Called when calls to the store begin to fail, with the reason, and when they succeed again,
+    //! without.
     using ReachHandler = std::function<void(const std::string &fault)>;
+    //! Called when the copy has become newer after a while, or has changed.
+    using NewsHandler = std::function<void()>;
 
-    StoreFeed(EventLoop &loop, HttpClient &client, const FormatTable &formats, Options options,
-              ChangeHandler onChange, ReachHandler onReachChanged);
+    StoreFeed(EventLoop &loop, HttpClient &storeClient, HttpClient &routerClient,
+              const FormatTable &formats, RouterDirectory &routers, Options options,
+              StoreMirror::ChangeHandler onChange, ReachHandler onReachChanged, NewsHandler onNews);
 
     StoreFeed(const StoreFeed &) = delete;
     StoreFeed &operator=(const StoreFeed &) = delete;
 
-    //! Whether all items have been read once.
-    bool isSynchronized() const { return isSynchronized_; }
-    //! Boot time at which the last successful call was sent; what is known is no older.
-    std::optional<Duration> lastContact() const { return lastContact_; }
-    //! Revision of the last change that was more than a sign of life.
-    StoreRevision relevantRevision() const { return relevantRevision_; }
+    const StoreMirror &mirror() const { return mirror_; }
+    const StorePlan &plan() const { return plan_; }
+    void setLimits(const StorePlan::Limits &limits);
+    //! Knowledge is too old to place requests: the store is asked now, unless a call is under way
+    //! or has just failed.
+    void refresh();
+    //! Something has been heard of other routers that may change whom to ask.
+    void reconsider();
     /*!
-        Another router was sure at this host's boot time \a at that nothing relevant came after
-        \a revision. If this one has read that far, it is as sure; else it asks at once.
+        Whether entries that are missing may still come back: the store answers again since a moment
+        ago, after it had not, or another router says so.
     */
-    void hear(StoreRevision revision, Duration at);
-    //! Asks soon, unless a call is under way or has just failed.
-    void refresh();
-    //! Replaces the pause between two calls that succeed.
-    void setPollInterval(Duration interval) { options_.pollInterval = interval; }
-    //! Whether the store answers again since a moment ago, after it had not.
     bool isJustBack() const;
-    std::uint64_t startedCalls() const { return startedCalls_; }
+    //! Returns what to tell a router that has read up to \a after. Precondition: a complete copy.
+    StoreChanges changesAfter(StoreRevision after) const;
+    //! Returns what other routers should know of the copy; none when they had better ask others.
+    std::optional<StoreHint> hint() const;
+
+    std::uint64_t storeCalls() const { return storeCalls_; }
+    std::uint64_t routerCalls() const { return routerCalls_; }
 
 private:
     enum class Step { Listing, Watching };
 
     void onTimer();
+    void arrange();
     void callAfter(Duration delay);
-    void call();
+    void callStore();
+    void callRouter(const RouterEntry &router);
+    void start(HttpClient &client, HttpCallRequest request);
     void onEnd(const HttpCallEnd &end);
+    void onStoreEnd(const HttpCallEnd &end);
+    void onRouterEnd(const HttpCallEnd &end);
     void onPage(const StorePage &page);
-    void finishListing();
-    void applyChange(const StoreChange &change);
-    void fail(const std::string &reason);
-    void succeed();
+    void onHeard(const StoreChanges &heard);
+    void failStore(const std::string &reason);
+    void succeedStore();
+    void noteNews(std::optional<Duration> contactBefore, StoreRevision relevantBefore);
 
     EventLoop &loop_;
-    HttpClient &client_;
+    HttpClient &storeClient_;
+    HttpClient &routerClient_;
     const FormatTable &formats_;
+    RouterDirectory &routers_;
     Options options_;
-    ChangeHandler onChange_;
     ReachHandler onReachChanged_;
+    NewsHandler onNews_;
+    StoreMirror mirror_;
+    StorePlan plan_;
     Timer timer_;
     Step step_ = Step::Listing;
     std::unique_ptr<HttpCall> call_;
+    std::optional<RouterEntry> asked_; //!< The router that the call in progress asks.
     std::string body_;
     Duration sentAt_ {};
-    Duration nextCallAt_ {};
-    std::string listedAfter_;                   //!< Last key of the page before.
-    std::optional<StoreRevision> listRevision_; //!< Of the first page.
-    std::unordered_map<std::string, StoreRevision> listed_;
-    std::unordered_map<std::string, StoreRevision> known_;
-    StoreRevision revision_ = 0;
-    StoreRevision relevantRevision_ = 0;
-    std::optional<Duration> lastContact_;
+    std::string listedAfter_; //!< Last key of the page before.
     std::optional<Duration> backSince_;
     Duration failingSince_ {};
-    Duration failurePause_ {};
-    bool isSynchronized_ = false;
-    bool isFailing_ = false;
-    std::uint64_t startedCalls_ = 0;
+    std::uint64_t storeCalls_ = 0;
+    std::uint64_t routerCalls_ = 0;
 };
 
 } // namespace crocusport
--- a/tests/gateway/testloadexchange.cpp
+++ b/tests/gateway/testloadexchange.cpp
@@ -50,9 +50,13 @@
     auto report = reportOf(router("front-1", "zone-0"), 7, 42, 3);
     report.isLeaving = true;
     report.scope = ReportScope::Zone;
-    report.store = StoreKnowledge { 99, Milliseconds(120) };
+    report.store = StoreHint { 99, Milliseconds(120) };
+    report.isAsking = true;
+    report.isRelayed = true;
+    report.zoneSize = 40;
     report.paces = { { 42, 305 } };
     report.broken = { 43 };
+    report.leaving = { { 44, StartNumber(2000) } };
     report.chains = { { 42, 1234 } };
     report.suspicions = { { Fingerprint(77), "engine-1/5" } };
     const auto bytes = encodeLoadReport(report);
@@ -67,10 +71,14 @@
         REQUIRE(decoded.sequence == 7);
         REQUIRE(decoded.isLeaving);
         REQUIRE(decoded.scope == ReportScope::Zone);
-        REQUIRE(decoded.store.value().revision == 99);
+        REQUIRE(decoded.store.value().relevant == 99);
         REQUIRE(decoded.store.value().age == Milliseconds(120));
+        REQUIRE(decoded.isAsking);
+        REQUIRE(decoded.isRelayed);
+        REQUIRE(decoded.zoneSize == 40);
         REQUIRE(decoded.paces == report.paces);
         REQUIRE(decoded.broken == report.broken);
+        REQUIRE(decoded.leaving == report.leaving);
         REQUIRE(decoded.chains == report.chains);
         REQUIRE(decoded.suspicions.at(0).fingerprint == Fingerprint(77));
         REQUIRE(decoded.suspicions.at(0).crash == "engine-1/5");
@@ -83,6 +91,12 @@
         for (std::size_t size = 0; size < bytes.size(); ++size)
             REQUIRE_FALSE(isDecoded(bytes.substr(0, size)));
     }
+    // Guards against a small datagram that exhausts the stack of its decoder.
+    WHEN("lists are nested without end")
+    {
+        REQUIRE_FALSE(isDecoded(std::string(60'000, '\x81')));
+        REQUIRE_FALSE(decodeNeighbours(std::string(60'000, '\x81')).has_value());
+    }
     // Guards against a datagram of anybody that ends the process.
     rc::prop("changed bytes are refused or decoded, and never fail otherwise", [&] {
         auto changed = bytes;
@@ -146,28 +160,45 @@
         peers.take(reportOf(near, 6, server->hash + 1, 3), now);
         REQUIRE(server->others.requests == 0);
     }
-    // Guards against messages that grow with the square of a large fleet.
-    WHEN("the fleet is large")
+    WHEN("routers of another zone are summed up by one of them")
     {
-        for (int i = 2; i <= 40; ++i)
-            peers.addRouter(router("front-" + std::to_string(i), i % 2 == 0 ? "zone-0" : "zone-1"));
-        REQUIRE_FALSE(peers.isDirect());
-        REQUIRE(peers.nearRouters().size() == 21);
-        REQUIRE(peers.farRouters().size() == 19);
-
-        THEN("the first router of a zone that is heard speaks for it")
+        auto sum = reportOf(router("front-3", "zone-1"), 1, server->hash, 7);
+        sum.scope = ReportScope::Zone;
+        REQUIRE(peers.take(sum, now));
+        REQUIRE(server->others.requests == 10);
+        REQUIRE(peers.zoneLoads(now).at(server->hash).requests == 3);
+        // Guards against a sum that is passed on without end.
+        THEN("the same sum counts once")
         {
-            REQUIRE(peers.isRepresentative(RouterName("front-0"), now));
-            REQUIRE_FALSE(peers.isRepresentative(RouterName("front-3"), now));
-            REQUIRE(peers.isRepresentative(RouterName("front-3"), now + std::chrono::seconds(3)));
+            REQUIRE_FALSE(peers.take(sum, now));
+            REQUIRE(server->others.requests == 10);
         }
-        THEN("sums of other zones count beside the reports of this one")
+        // Guards against requests that count twice while two routers believe that they speak for
+        // their zone.
+        THEN("a sum of another router of that zone replaces it")
         {
-            auto sum = reportOf(router("front-3", "zone-1"), 1, server->hash, 7);
-            sum.scope = ReportScope::Zone;
-            peers.take(sum, now);
+            auto second = reportOf(router("front-5", "zone-1"), 2, server->hash, 8);
+            second.scope = ReportScope::Zone;
+            REQUIRE(peers.take(second, now));
+            REQUIRE(server->others.requests == 11);
+        }
+        THEN("a sum of this zone adds nothing")
+        {
+            auto own = reportOf(router("front-5", "zone-0"), 2, server->hash, 8);
+            own.scope = ReportScope::Zone;
+            REQUIRE_FALSE(peers.take(own, now));
             REQUIRE(server->others.requests == 10);
-            REQUIRE(peers.zoneLoads(now).at(server->hash).requests == 3);
         }
     }
 }
+
+SCENARIO("Neighbours on their way between routers")
+{
+    const std::vector<RouterEntry> routers { router("front-1", "zone-0"),
+                                             router("front-2", "zone-1") };
+    const auto decoded = decodeNeighbours(encodeNeighbours(routers));
+    REQUIRE(decoded.has_value());
+    REQUIRE(*decoded == routers);
+    REQUIRE_FALSE(decodeNeighbours(encodeLoadReport(reportOf(routers[0], 1, 2, 3))).has_value());
+    REQUIRE_FALSE(isDecoded(encodeNeighbours(routers)));
+}
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -80,6 +80,8 @@
     settings.store = store.address();
     settings.revocationBound = revocationBound;
     settings.isRevocationStrict = true;
+    settings.configurationBound = std::chrono::milliseconds(2000);
+    settings.leavingBound = std::chrono::milliseconds(2000);
     settings.retryRatio = 1;
     settings.retrySlack = 100;
     settings.retryWindow = std::chrono::seconds(10);
@@ -113,12 +115,12 @@
     store.put("op/config", configuration.dump());
 }
 
-void Deployment::enter(const StandInServer &server, const std::string &state)
+void Deployment::enter(const StandInServer &server, const std::string &state, int start)
 {
     const Json entry = { { "service", "pool" }, { "address", server.address().value() },
                          { "zone", "zone-1" },  { "slots", 4 },
                          { "state", state },    { "coldRemainingMs", 0 },
-                         { "born", 1000 },      { "seq", ++sequence_ } };
+                         { "born", start },     { "seq", ++sequence_ } };
     store.put("servers/" + server.name(), entry.dump());
 }
 
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -48,8 +48,8 @@
 
     //! Writes a configuration with a route of each kind; \a key is the only team's key.
     void configure(int version, const std::string &key = "key-1");
-    //! Writes the entry of \a server.
-    void enter(const StandInServer &server, const std::string &state = "ready");
+    //! Writes the entry of \a server, which started at \a start.
+    void enter(const StandInServer &server, const std::string &state = "ready", int start = 1000);
     //! Lets the gateway read what the store holds.
     void settle();
     bool waitReady();
--- a/tests/platform/testforwarding.cpp
+++ b/tests/platform/testforwarding.cpp
@@ -337,6 +337,84 @@
     }
 }
 
+SCENARIO("A backend server that wants no more requests")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    REQUIRE(deployment.serve());
+    auto &first = deployment.first;
+    auto &second = deployment.second;
+    const auto ask = [&](const std::string &status) {
+        RawClient client(runner.loop(), deployment.gateway->callersAddress());
+        client.send(Deployment::request("unsafe"));
+        return runner.runUntil([&] { return isAnswered(client, status); });
+    };
+
+    // Guards against requests that reach a server after it has said in an answer that it leaves,
+    // while its entry still calls it ready.
+    WHEN("its answer says that it leaves")
+    {
+        first.handler = [&](const auto &exchange) {
+            auto headers = first.sealedHeaders(*exchange);
+            headers.emplace_back("Server-Leaving", "1");
+            exchange->reply(200, headers, "last");
+        };
+        REQUIRE(ask("200"));
+        THEN("it gets nothing more, and callers hear at once that nothing has run")
+        {
+            REQUIRE(ask("503"));
+            deployment.enter(first);
+            deployment.settle();
+            REQUIRE(ask("503"));
+            REQUIRE(first.requests.size() == 1);
+        }
+        THEN("the others take over")
+        {
+            deployment.enter(second);
+            deployment.settle();
+            for (int i = 0; i < 5; ++i)
+                REQUIRE(ask("200"));
+            REQUIRE(first.requests.size() == 1);
+        }
+        THEN("it gets requests again when it has started anew under its name")
+        {
+            first.handler = nullptr;
+            deployment.enter(first, "ready", 2000);
+            deployment.settle();
+            REQUIRE(ask("200"));
+        }
+    }
+    WHEN("it turns a request away and asks for a pause")
+    {
+        int refusals = 0;
+        first.handler = [&](const auto &exchange) {
+            if (++refusals == 1)
+                exchange->reply(503, { { "X-Not-Executed", "1" }, { "Retry-After", "0.9" } }, "");
+            else
+                exchange->reply(200, first.sealedHeaders(*exchange), "done");
+        };
+        RawClient client(runner.loop(), deployment.gateway->callersAddress());
+        client.send(Deployment::request("unsafe"));
+        REQUIRE(runner.runUntil([&] { return isAnswered(client, "503"); }));
+        // Guards against callers that are held, or come back while the server refuses all.
+        THEN("callers are told at once when it takes requests again")
+        {
+            const auto at = client.received().find("Retry-After: 0.");
+            REQUIRE(at != std::string::npos);
+            REQUIRE(std::stod(client.received().substr(at + 13)) > 0.6);
+        }
+        // Guards against a server that is asked again while it has no room.
+        THEN("it gets nothing for so long, and requests again afterwards")
+        {
+            runner.runFor(Milliseconds(200));
+            REQUIRE(ask("503"));
+            REQUIRE(first.requests.size() == 1);
+            runner.runFor(Milliseconds(800));
+            REQUIRE(ask("200"));
+        }
+    }
+}
+
 SCENARIO("Streams")
 {
     LoopRunner runner;
--- a/tests/platform/testmutations.cpp
+++ b/tests/platform/testmutations.cpp
@@ -1,5 +1,7 @@
 #include "platformformats.h"
 
+#include "storemirror.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -94,7 +96,7 @@
     rc::prop("answers of the store", [](const std::string &any) {
         isDecoded([&] { return PlatformFormats::decodeRange(any); });
         isDecoded([&] { return PlatformFormats::decodeWatch(any); });
-        isDecoded([&] { return PlatformFormats::decodeLease(any); });
+        isDecoded([&] { return decodeStoreChanges(any); });
         isDecoded([&] { return PlatformFormats::decodeConfiguration(any); });
     });
     rc::prop("heads of answers", [](int status, const std::string &name, const std::string &value) {
