--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -16,10 +16,11 @@
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 // Routers without a change report this often, so that others know that they live.
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
-// A zone of 28 routers with links of 10 Mbit/s spends about 1 % of them on reports.
-constexpr Duration kReportIntervalPerRouter = std::chrono::milliseconds(12);
-// Sums go to other zones over dear links.
-constexpr Duration kZoneReportInterval = std::chrono::seconds(1);
+// A zone of 40 routers spends about 3 % of links of 20 Mbit/s on reports.
+constexpr Duration kReportIntervalPerRouter = std::chrono::milliseconds(4);
+// Sums go to other zones over dear links, and prompt parts with every few of them.
+constexpr Duration kZoneReportInterval = std::chrono::milliseconds(300);
+constexpr Duration kZoneChainInterval = std::chrono::seconds(1);
 // A router that starts asks for neighbours this often, and later now and then, so that groups that
 // have not met join.
 constexpr Duration kMinAskingInterval = std::chrono::milliseconds(100);
@@ -29,8 +30,8 @@
 constexpr std::size_t kMaxReportedChains = 64;
 constexpr std::size_t kMaxReportedPaces = 32;
 constexpr double kPaceUnitsPerMs = 10;
-// Of one second in a zone; a datagram of this many takes about 6 kB.
-constexpr std::size_t kMaxZoneChains = 512;
+// Of one second in a zone; a datagram of this many takes about 20 kB.
+constexpr std::size_t kMaxZoneChains = 1500;
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -182,9 +183,9 @@
 {
     if (routers_.isDirect())
         return;
-    zoneChains_.emplace_back(server, chain);
-    if (zoneChains_.size() > kMaxZoneChains)
-        zoneChains_.erase(zoneChains_.begin(), zoneChains_.begin() + kMaxZoneChains / 2);
+    // The same parts are sent again and again; what did not fit is told when it is sent next.
+    if (zoneChains_.size() < kMaxZoneChains)
+        zoneChains_.emplace(server, chain);
 }
 
 void RouterExchange::noteChain(ServerHash server, ChainHash chain)
@@ -283,7 +284,11 @@
             sums[server->hash] += server->own;
     });
     report.loads.assign(sums.begin(), sums.end());
-    report.chains = std::exchange(zoneChains_, {});
+    if (now - zoneChainsSentAt_ >= kZoneChainInterval) {
+        zoneChainsSentAt_ = now;
+        report.chains.assign(zoneChains_.begin(), zoneChains_.end());
+        zoneChains_.clear();
+    }
     const auto datagram = encodeLoadReport(report);
     for (const auto &router : routers_.farRouters(++zoneTurn_))
         datagrams_->send(router.address, datagram);
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 namespace crocusport {
 
@@ -98,6 +99,7 @@
     Timer reportTimer_;
     Instant reportedAt_;
     Instant zoneReportedAt_;
+    Instant zoneChainsSentAt_;
     Instant nextHousekeeping_;
     Instant nextAsking_;
     Duration askingPause_;
@@ -105,7 +107,7 @@
     std::uint64_t zoneTurn_ = 0;
     std::vector<std::pair<ServerHash, ChainHash>> newChains_;
     std::vector<std::pair<ServerHash, std::uint32_t>> newPaces_;
-    std::vector<std::pair<ServerHash, ChainHash>> zoneChains_; //!< Of all routers of the zone.
+    std::set<std::pair<ServerHash, ChainHash>> zoneChains_; //!< Of all routers of the zone.
     std::deque<std::pair<Instant, CrashSuspicion>> suspicions_;
 };
 
--- a/tests/gateway/testserverselector.cpp
+++ b/tests/gateway/testserverselector.cpp
@@ -304,3 +304,56 @@
         REQUIRE(engine->pace.slowness(30, engines.now + std::chrono::seconds(9)) < 1.5);
     }
 }
+
+SCENARIO("A crest at which all engines have prompts to read")
+{
+    Engines engines(8);
+    constexpr std::uint32_t kSharedTokens = 5000;
+    constexpr std::uint64_t kSecondOfReading = 60'000;
+    auto draft = prompt({ { 7, kSharedTokens }, { 8, 1000 } }, 0.06);
+    draft.startWithin = std::chrono::milliseconds(500);
+    const auto home = engines.choose(draft).server;
+    const auto load = [&](const ServerDirectory::ServerPointer &server, std::uint64_t tokens) {
+        server->others.requests = 4;
+        server->others.prefillTokens = tokens;
+    };
+    engines.directory.forEach([&](const auto &server) { load(server, 10'000); });
+
+    // Guards against requests that are sent where they can only begin too late.
+    WHEN("no engine could begin in time")
+    {
+        engines.directory.forEach([&](const auto &server) { load(server, kSecondOfReading); });
+        REQUIRE_FALSE(engines.choose(draft).server);
+        THEN("a stream that goes on is placed all the same")
+        {
+            draft.startWithin = Duration::zero();
+            REQUIRE(engines.choose(draft).server);
+        }
+        THEN("an idle engine takes what no other could begin in time")
+        {
+            home->others = ServerLoad();
+            auto longest = prompt({ { 9, 60'000 } }, 0.06);
+            longest.startWithin = std::chrono::milliseconds(500);
+            REQUIRE(engines.choose(longest).server == home);
+        }
+    }
+    // Guards against a shared part that every engine reads once more, when that takes the time in
+    // which others would have been served.
+    WHEN("only the engine that holds the shared part has too much to read")
+    {
+        load(home, kSecondOfReading);
+        REQUIRE_FALSE(engines.choose(draft).server);
+        THEN("one with time to spare reads it, too")
+        {
+            const auto spare = engines.directory.find(BackendServerName("engine-0")) == home
+                ? engines.directory.find(BackendServerName("engine-1"))
+                : engines.directory.find(BackendServerName("engine-0"));
+            load(spare, 0);
+            REQUIRE(engines.choose(draft).server == spare);
+        }
+    }
+    WHEN("the engine that holds it has room")
+    {
+        REQUIRE(engines.choose(draft).server == home);
+    }
+}
