--- /dev/null
+++ b/tests/gateway/testrouterfleet.cpp
@@ -0,0 +1,453 @@
+#include "storemirror.h"
+#include "storeplan.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace crocusport;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+//! A store without sockets: items with revisions, and all changes since the start of its history.
+class ModelStore
+{
+public:
+    void put(const std::string &key, const std::string &value)
+    {
+        items_[key] = { key, value, ++revision_ };
+        changes_.push_back(items_[key]);
+    }
+    void erase(const std::string &key)
+    {
+        items_.erase(key);
+        changes_.push_back({ key, std::nullopt, ++revision_ });
+    }
+    StorePage list() const
+    {
+        StorePage page;
+        for (const auto &[key, change] : items_)
+            page.changes.push_back(change);
+        page.revision = revision_;
+        return page;
+    }
+    StorePage watch(StoreRevision after) const
+    {
+        StorePage page;
+        for (const auto &change : changes_) {
+            if (change.revision > after)
+                page.changes.push_back(change);
+        }
+        page.revision = revision_;
+        return page;
+    }
+    StoreRevision revision() const { return revision_; }
+    const std::map<std::string, StoreChange> &items() const { return items_; }
+
+private:
+    std::map<std::string, StoreChange> items_;
+    std::vector<StoreChange> changes_;
+    StoreRevision revision_ = 0;
+};
+
+//! Values that begin with "~" are signs of life.
+bool isRelevant(const StoreChange &change)
+{
+    return !change.value || !change.value->starts_with('~');
+}
+
+void list(StoreMirror &mirror, const ModelStore &store, Duration now)
+{
+    mirror.beginListing();
+    mirror.addListed(store.list());
+    mirror.finishListing();
+    mirror.addWatched(store.watch(mirror.revision()), now);
+}
+
+//! Routers with the real decisions, on one simulated clock, with answers that take a moment.
+class Fleet
+{
+public:
+    struct Router
+    {
+        Router(RouterEntry own, const StorePlan::Limits &limits, Duration now)
+            : entry(std::move(own)), routers(entry.name, entry.zone), mirror(isRelevant),
+              plan(limits, now)
+        { }
+
+        RouterEntry entry;
+        RouterDirectory routers;
+        StoreMirror mirror;
+        StorePlan plan;
+        Duration reportAt {};
+        Duration busyUntil {};
+        bool isDown = false;
+        bool isCutFromStore = false;
+    };
+
+    explicit Fleet(std::size_t size, std::size_t zones) : zones_(zones)
+    {
+        store.put("configuration", "1");
+        for (int i = 0; i < 50; ++i)
+            store.put("server-" + std::to_string(i), "ready");
+        start(size);
+    }
+
+    void start(std::size_t size)
+    {
+        routers.clear();
+        for (std::size_t i = 0; i < size; ++i) {
+            const auto name = "front-" + std::to_string(1000 + i);
+            routers.push_back(std::make_unique<Router>(
+                RouterEntry { RouterName(name), SocketAddress("10.0.0.1:" + name.substr(6)),
+                              AvailabilityZone("zone-" + std::to_string(i % zones_)) },
+                limits, now + milliseconds(random_() % 300)));
+            routers.back()->reportAt = now + milliseconds(random_() % 300);
+        }
+    }
+
+    //! Routers of a zone hear each other; who starts knows nobody before the first report.
+    void runFor(Duration length)
+    {
+        for (const auto end = now + length; now < end; now += kTick) {
+            if (store.revision() % 7 == 0 || random_() % 8 == 0)
+                store.put("server-0", "~" + std::to_string(now.count()));
+            for (const auto &router : routers) {
+                if (!router->isDown)
+                    step(*router);
+            }
+        }
+    }
+
+    std::size_t knowing(const std::string &key, const std::string &value) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(routers.begin(), routers.end(),
+                          [&](const auto &router) { return router->mirror.value(key) == value; }));
+    }
+    Duration oldest() const
+    {
+        Duration age {};
+        for (const auto &router : routers) {
+            if (!router->isDown)
+                age = std::max(age, now - router->mirror.contact().value_or(Duration::zero()));
+        }
+        return age;
+    }
+
+    StorePlan::Limits limits { milliseconds(800), milliseconds(1600), milliseconds(700) };
+    ModelStore store;
+    std::vector<std::unique_ptr<Router>> routers;
+    Duration now = std::chrono::seconds(100);
+    std::uint64_t storeCalls = 0;
+    std::uint64_t routerCalls = 0;
+    bool isStoreDown = false;
+
+private:
+    static constexpr Duration kTick = milliseconds(5);
+    static constexpr Duration kReportInterval = milliseconds(500);
+
+    void step(Router &router)
+    {
+        if (now >= router.reportAt) {
+            router.reportAt = now + kReportInterval;
+            report(router);
+        }
+        if (now < router.busyUntil)
+            return;
+        const auto next = router.plan.next(router.routers, router.mirror.revision(), now);
+        if (next.at > now)
+            return;
+        router.busyUntil = now + kTick;
+        const auto contact = router.mirror.contact();
+        const auto relevant = router.mirror.relevantRevision();
+        if (next.router)
+            askRouter(router, *next.router);
+        else
+            askStore(router);
+        const bool wasOld = !contact || now - *contact > router.plan.interval() + milliseconds(300);
+        if (router.mirror.contact() && (wasOld || router.mirror.relevantRevision() != relevant))
+            report(router);
+    }
+
+    void report(const Router &from)
+    {
+        std::optional<StoreHint> hint;
+        if (from.mirror.isComplete() && !from.plan.isStoreFailing())
+            hint = StoreHint { from.mirror.relevantRevision(),
+                               std::chrono::ceil<Milliseconds>(now - *from.mirror.contact()) };
+        for (const auto &to : routers) {
+            if (to.get() != &from && !to->isDown && to->entry.zone == from.entry.zone
+                && random_() % 50 != 0)
+                to->routers.hear(from.entry, hint, now);
+        }
+    }
+
+    void askStore(Router &router)
+    {
+        ++storeCalls;
+        router.plan.noteAsked(true, now);
+        if (isStoreDown || router.isCutFromStore) {
+            router.busyUntil = now + limits.callTimeout;
+            router.plan.noteStoreFailed(router.routers.rank(now), now + limits.callTimeout);
+            return;
+        }
+        router.plan.noteStoreAnswered();
+        if (router.mirror.isComplete())
+            router.mirror.addWatched(store.watch(router.mirror.revision()), now);
+        else
+            list(router.mirror, store, now);
+    }
+
+    void askRouter(Router &router, const RouterEntry &asked)
+    {
+        ++routerCalls;
+        router.plan.noteAsked(false, now);
+        const auto found = std::find_if(routers.begin(), routers.end(), [&](const auto &other) {
+            return other->entry.name == asked.name;
+        });
+        if ((*found)->isDown || !(*found)->mirror.isComplete()) {
+            router.busyUntil = now + milliseconds(300);
+            router.routers.noteNoAnswer(asked.name, now);
+            return;
+        }
+        const auto changes = (*found)->mirror.changesAfter(router.mirror.revision(), now);
+        router.mirror.addHeard(changes, now);
+        router.routers.noteAnswer(asked.name, { changes.relevant, changes.age }, now);
+    }
+
+    std::size_t zones_;
+    std::mt19937_64 random_ { 7 };
+};
+
+} // namespace
+
+SCENARIO("A copy of the store that is read from another copy")
+{
+    ModelStore store;
+    store.put("a", "1");
+    store.put("b", "1");
+    StoreMirror reader(isRelevant);
+    list(reader, store, std::chrono::seconds(10));
+    StoreMirror follower(isRelevant);
+    const auto ask = [&](Duration at) {
+        follower.addHeard(reader.changesAfter(follower.revision(), at), at);
+    };
+    ask(std::chrono::seconds(11));
+    REQUIRE(follower.value("b") == "1");
+    // Guards against knowledge that seems newer than it is: its age is that of the copy it is from.
+    REQUIRE(follower.contact() == std::chrono::seconds(10));
+
+    WHEN("items change and go")
+    {
+        store.put("a", "2");
+        store.erase("b");
+        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        ask(std::chrono::seconds(13));
+        REQUIRE(follower.value("a") == "2");
+        REQUIRE_FALSE(follower.value("b").has_value());
+        REQUIRE(follower.contact() == std::chrono::seconds(12));
+    }
+    // Guards against a router that has just started and tells others that nothing has changed,
+    // although what it has listed shows no change.
+    WHEN("the reader starts again after a change that the follower has not seen")
+    {
+        store.put("a", "2");
+        StoreMirror restarted(isRelevant);
+        list(restarted, store, std::chrono::seconds(14));
+        const auto changes = restarted.changesAfter(follower.revision(), std::chrono::seconds(14));
+        REQUIRE(changes.isSnapshot);
+        follower.addHeard(changes, std::chrono::seconds(14));
+        REQUIRE(follower.value("a") == "2");
+    }
+    // Guards against a deletion that is undone by a router that is behind.
+    WHEN("another router is behind")
+    {
+        StoreMirror behind(isRelevant);
+        list(behind, store, std::chrono::seconds(11));
+        store.erase("b");
+        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        ask(std::chrono::seconds(12));
+        follower.addHeard(behind.changesAfter(0, std::chrono::seconds(13)),
+                          std::chrono::seconds(13));
+        REQUIRE_FALSE(follower.value("b").has_value());
+        REQUIRE(follower.contact() == std::chrono::seconds(12));
+    }
+    // Guards against a change back and forth that one copy has skipped and hides from the next.
+    WHEN("an item changes twice between two questions")
+    {
+        StoreMirror third(isRelevant);
+        third.addHeard(reader.changesAfter(0, std::chrono::seconds(11)), std::chrono::seconds(11));
+        store.put("a", "2");
+        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        third.addHeard(reader.changesAfter(third.revision(), std::chrono::seconds(12)),
+                       std::chrono::seconds(12));
+        store.put("a", "1");
+        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(13));
+        ask(std::chrono::seconds(14));
+        third.addHeard(follower.changesAfter(third.revision(), std::chrono::seconds(14)),
+                       std::chrono::seconds(14));
+        REQUIRE(third.value("a") == "1");
+    }
+    WHEN("it is encoded")
+    {
+        store.erase("b");
+        store.put("c", std::string("any\0bytes\xFF", 10));
+        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        const auto after = GENERATE(StoreRevision(0), StoreRevision(2));
+        const auto changes = reader.changesAfter(after, std::chrono::seconds(13));
+        const auto bytes = encodeStoreChanges(changes);
+        const auto decoded = handleErrors([&] { return decodeStoreChanges(bytes); },
+                                          [](const Error & /*error*/) { return StoreChanges(); });
+        REQUIRE(decoded.relevant == changes.relevant);
+        REQUIRE(decoded.revision == changes.revision);
+        REQUIRE(decoded.age == changes.age);
+        REQUIRE(decoded.isSnapshot == changes.isSnapshot);
+        REQUIRE(decoded.changes.size() == changes.changes.size());
+        for (std::size_t i = 0; i < decoded.changes.size(); ++i) {
+            REQUIRE(decoded.changes[i].key == changes.changes[i].key);
+            REQUIRE(decoded.changes[i].value == changes.changes[i].value);
+        }
+    }
+}
+
+// Guards against copies that differ from the store after any order of questions.
+SCENARIO("Copies that read from each other and from the store in any order")
+{
+    rc::prop("know what was relevant at their contact", [] {
+        ModelStore store;
+        store.put("a", "1");
+        std::vector<std::unique_ptr<StoreMirror>> mirrors;
+        for (int i = 0; i < 4; ++i)
+            mirrors.push_back(std::make_unique<StoreMirror>(isRelevant));
+        // What the store held at each moment.
+        std::map<std::int64_t, std::map<std::string, std::string>> history;
+        Duration now = std::chrono::seconds(1);
+        const auto steps = *rc::gen::inRange(1, 120);
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds(1);
+            const auto key = std::string(1, *rc::gen::element('a', 'b', 'c'));
+            const auto index = *rc::gen::inRange<std::size_t>(0, mirrors.size());
+            auto &mirror = *mirrors[index];
+            switch (*rc::gen::inRange(0, 5)) {
+            case 0:
+                store.put(key, std::to_string(i));
+                break;
+            case 1:
+                store.erase(key);
+                break;
+            case 2:
+                list(mirror, store, now);
+                break;
+            case 3:
+                if (mirror.isComplete())
+                    mirror.addWatched(store.watch(mirror.revision()), now);
+                break;
+            default: {
+                const auto &other = *mirrors[*rc::gen::inRange<std::size_t>(0, mirrors.size())];
+                if (other.isComplete())
+                    mirror.addHeard(other.changesAfter(mirror.revision(), now), now);
+            }
+            }
+            auto &state = history[now.count()];
+            for (const auto &[name, change] : store.items())
+                state[name] = *change.value;
+            for (const auto &checked : mirrors) {
+                if (!checked->contact() || checked->revision() != store.revision())
+                    continue;
+                for (const auto *const name : { "a", "b", "c" }) {
+                    const auto found = state.find(name);
+                    const auto expected = found == state.end() ? std::optional<std::string>()
+                                                               : std::optional(found->second);
+                    RC_ASSERT(checked->value(name) == expected);
+                }
+            }
+        }
+    });
+}
+
+SCENARIO("A fleet of routers and one store")
+{
+    // Guards against calls that grow with the fleet, and against knowledge that is too old.
+    WHEN("nothing fails")
+    {
+        const auto size = GENERATE(as<std::size_t>(), 10, 30, 100, 300);
+        constexpr std::size_t kZones = 5;
+        Fleet fleet(size, kZones);
+        fleet.runFor(std::chrono::seconds(5));
+        const auto atStart = fleet.storeCalls;
+        CAPTURE(size, atStart);
+        REQUIRE(fleet.knowing("configuration", "1") == size);
+        REQUIRE(atStart <= 60 * kZones);
+        Duration oldest {};
+        for (int i = 0; i < 100; ++i) {
+            fleet.runFor(milliseconds(100));
+            oldest = std::max(oldest, fleet.oldest());
+        }
+        const auto perZoneAndSecond =
+            static_cast<double>(fleet.storeCalls - atStart) / (10 * kZones);
+        CAPTURE(perZoneAndSecond, oldest.count());
+        REQUIRE(perZoneAndSecond <= 6);
+        REQUIRE(oldest <= fleet.limits.knowledgeLimit);
+
+        fleet.store.put("configuration", "2");
+        fleet.runFor(milliseconds(1000));
+        REQUIRE(fleet.knowing("configuration", "2") == size);
+    }
+    // Guards against a zone that depends on one router.
+    WHEN("the router that reads for its zone is killed or cut from the store")
+    {
+        Fleet fleet(200, 5);
+        fleet.runFor(std::chrono::seconds(5));
+        const bool isKilled = GENERATE(true, false);
+        for (std::size_t zone = 0; zone < 5; ++zone) {
+            fleet.routers[zone]->isDown = isKilled;
+            fleet.routers[zone]->isCutFromStore = !isKilled;
+        }
+        const auto before = fleet.storeCalls;
+        Duration oldest {};
+        for (int i = 0; i < 100; ++i) {
+            fleet.runFor(milliseconds(100));
+            oldest = std::max(oldest, fleet.oldest());
+        }
+        CAPTURE(oldest.count(), fleet.storeCalls - before);
+        REQUIRE(oldest <= fleet.limits.knowledgeLimit);
+        REQUIRE(fleet.storeCalls - before <= 10 * 5 * 8);
+    }
+    // Guards against a stampede when the store comes back, and against routers that learn late.
+    WHEN("the store is out for all and comes back")
+    {
+        Fleet fleet(200, 5);
+        fleet.runFor(std::chrono::seconds(5));
+        fleet.isStoreDown = true;
+        const auto before = fleet.storeCalls;
+        fleet.runFor(std::chrono::seconds(6));
+        CAPTURE(fleet.storeCalls - before);
+        REQUIRE(fleet.storeCalls - before <= 200 * 6);
+        fleet.isStoreDown = false;
+        fleet.store.put("configuration", "2");
+        fleet.runFor(milliseconds(3000));
+        REQUIRE(fleet.knowing("configuration", "2") == 200);
+        REQUIRE(fleet.oldest() <= fleet.limits.knowledgeLimit);
+    }
+    // Guards against a start of all routers at once in which each lists all items.
+    WHEN("all routers start again at once")
+    {
+        Fleet fleet(300, 5);
+        fleet.runFor(std::chrono::seconds(3));
+        fleet.start(300);
+        const auto before = fleet.storeCalls;
+        fleet.runFor(milliseconds(2000));
+        CAPTURE(fleet.storeCalls - before);
+        REQUIRE(fleet.knowing("configuration", "1") == 300);
+        REQUIRE(fleet.storeCalls - before <= 60);
+    }
+}
--- a/tests/gateway/testsilencelimits.cpp
+++ b/tests/gateway/testsilencelimits.cpp
@@ -58,6 +58,13 @@
             REQUIRE(limits.limit(other) == std::chrono::milliseconds(3200));
         }
     }
+    // Guards against a sound stream that is cut because it has been slow from its begin.
+    WHEN("a stream has had long pauses from its begin")
+    {
+        const Duration longest = std::chrono::milliseconds(2000);
+        REQUIRE(limits.limit(report, longest) == std::chrono::milliseconds(6000));
+        REQUIRE(limits.limit(report, Duration::zero()) == limits.limit(report));
+    }
     WHEN("a request must not run again")
     {
         auto once = report;
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -67,7 +67,17 @@
     return {};
 }
 
+const FormatTable &Deployment::formats()
+{
+    return kFormats;
+}
+
 Deployment::Deployment(LoopRunner &loopRunner, Milliseconds revocationBound)
+    : Deployment(loopRunner, kFormats, revocationBound)
+{ }
+
+Deployment::Deployment(LoopRunner &loopRunner, const FormatTable &formats,
+                       Milliseconds revocationBound)
     : runner(loopRunner), store(runner.loop()), first(runner.loop(), "first"),
       second(runner.loop(), "second")
 {
@@ -90,7 +100,7 @@
     settings.reportInterval = std::chrono::milliseconds(100);
     const int discarded = open("/dev/null", O_WRONLY | O_CLOEXEC);
     gateway =
-        handleErrors([&] { return Gateway::create(runner.loop(), settings, kFormats, discarded); },
+        handleErrors([&] { return Gateway::create(runner.loop(), settings, formats, discarded); },
                      [](const Error &error) -> std::unique_ptr<Gateway> {
                          throw std::runtime_error(error.message);
                      });
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -45,6 +45,10 @@
 {
 public:
     explicit Deployment(LoopRunner &runner, Milliseconds revocationBound = std::chrono::seconds(5));
+    //! Uses other formats than the platform's; \a formats must outlive the deployment.
+    Deployment(LoopRunner &runner, const FormatTable &formats, Milliseconds revocationBound);
+    //! The platform's formats.
+    static const FormatTable &formats();
 
     //! Writes a configuration with a route of each kind; \a key is the only team's key.
     void configure(int version, const std::string &key = "key-1");
