Gateway: Forget old failures of the store, start faster, and place as before

Change: a failure is forgotten when others have kept the router informed for three seconds; a question for neighbours is sent at once and answered with what the neighbour knows of the store.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -192,7 +192,6 @@
     work_.promptTokens = request_.promptTokens;
     work_.outputTokens = request_.expectedOutputTokens.value_or(request_.maxOutputTokens);
     work_.bodyBytes = exchange_->body().size();
-    work_.isMostUrgent = urgency_ == 0;
     if (route_.kind == RequestKind::Stream)
         work_.sensitivity = pauseSensitivity(route_.maxPause, work_.outputTokens);
     const auto target = exchange_->target();
@@ -230,11 +229,6 @@
     }
     if (!services_.isKnowledgeFresh())
         return false;
-    // A stream that goes on has had its first event.
-    work_.startWithin = exchange_->isStarted()
-        ? Duration::zero()
-        : std::max(exchange_->arrival() + route_.target - monotonicNow(),
-                   Duration(Milliseconds(1)));
     const auto choice = services_.selector.choose(pool_, services_.table()->findPool(pool_), work_,
                                                   excluded_, monotonicNow());
     if (!choice.server)
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -28,6 +28,7 @@
 constexpr unsigned kZoneFlag = 2;
 constexpr unsigned kAskingFlag = 4;
 constexpr unsigned kRelayedFlag = 8;
+constexpr unsigned kGreetingFlag = 16;
 // Larger sizes are taken for a mistake.
 constexpr std::size_t kMaxZoneSize = 10'000;
 constexpr std::size_t kLoadFields = 5;
@@ -82,7 +83,8 @@
         store = Json::array({ report.store->relevant, report.store->age.count() });
     const auto flags = (report.isLeaving ? kLeavingFlag : 0U)
         | (report.scope == ReportScope::Zone ? kZoneFlag : 0U)
-        | (report.isAsking ? kAskingFlag : 0U) | (report.isRelayed ? kRelayedFlag : 0U);
+        | (report.isAsking ? kAskingFlag : 0U) | (report.isRelayed ? kRelayedFlag : 0U)
+        | (report.isGreeting ? kGreetingFlag : 0U);
     const Json message = Json::array(
         { report.router.name.value(), report.router.address.value(), report.router.zone.value(),
           report.sequence, flags, std::move(loads), std::move(chains), std::move(suspicions),
@@ -108,6 +110,7 @@
     report.sequence = number(json[3]);
     report.isLeaving = (number(json[4]) & kLeavingFlag) != 0;
     report.isAsking = (number(json[4]) & kAskingFlag) != 0;
+    report.isGreeting = (number(json[4]) & kGreetingFlag) != 0;
     report.isRelayed = (number(json[4]) & kRelayedFlag) != 0;
     report.zoneSize = std::min<std::size_t>(number(json[12]), kMaxZoneSize);
     report.scope = (number(json[4]) & kZoneFlag) != 0 ? ReportScope::Zone : ReportScope::Router;
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -42,6 +42,7 @@
     ReportScope scope = ReportScope::Router;
     bool isLeaving = false;
     bool isAsking = false;    //!< The router wants to know its neighbours.
+    bool isGreeting = false;  //!< The answer to that; like a question, it holds no loads.
     bool isRelayed = false;   //!< Another router of this zone has received it, and passes it on.
     std::size_t zoneSize = 0; //!< Routers of the zone, where the report is of a whole one.
     std::optional<StoreHint> store;
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -75,6 +75,7 @@
         DatagramSocket::create(loop, questions_->address(),
                                [this](std::string_view bytes) { onDatagram(bytes); }));
     self_ = { settings.router, datagrams_->address(), settings.zone };
+    askForNeighbours(monotonicNow());
     return {};
 }
 
@@ -126,10 +127,9 @@
         routers_.noteZoneSize(report.router.zone, report.zoneSize, boot);
     }
     if (report.isAsking)
-        datagrams_->send(report.router.address,
-                         encodeNeighbours(routers_.neighboursOf(report.router, boot)));
-    // A question does not hold the loads.
-    if (!report.isAsking && loads_.take(report, now)) {
+        greet(report.router);
+    const bool hasLoads = !report.isAsking && !report.isGreeting;
+    if (hasLoads && loads_.take(report, now)) {
         applyHints(report, now);
         if (report.scope == ReportScope::Zone && !report.isRelayed)
             relay(report);
@@ -161,6 +161,15 @@
         parts_.crashes.add(suspicion.fingerprint, suspicion.crash, now);
 }
 
+// The greeting tells a router that starts at once whom it can ask for what the store holds.
+void RouterExchange::greet(const RouterEntry &router)
+{
+    auto greeting = makeReport();
+    greeting.isGreeting = true;
+    datagrams_->send(router.address, encodeLoadReport(greeting));
+    datagrams_->send(router.address, encodeNeighbours(routers_.neighboursOf(router, uptime())));
+}
+
 void RouterExchange::takeNeighbours(const std::vector<RouterEntry> &neighbours)
 {
     const auto boot = uptime();
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <limits>
 #include <optional>
 
@@ -16,13 +15,6 @@
 
 // Reading speed of a usual engine, in prompt tokens for each ms; only the ratio of costs matters.
 constexpr double kPrefillTokensPerMs = 80;
-// The same beside the tokens of other requests and the moments in which an engine is slow.
-constexpr double kMixedTokensPerMs = 60;
-// From the end of reading to the first event at the router.
-constexpr double kFirstEventMs = 60;
-// Prompts that take all of the time themselves may still wait for this part of it.
-constexpr double kMinDelayShare = 0.3;
-constexpr double kMsPerSecond = 1000;
 // Each running request makes every step of the engine a little longer.
 constexpr double kMsPerRunningRequest = 2;
 // A prompt over this length is read in several chunks, and delays several steps.
@@ -45,12 +37,6 @@
 // this: another router, which this one does not hear, may have had it read there.
 constexpr double kHomeMs = 25;
 constexpr double kHomeMsPerSharedToken = 0.12;
-// Shared parts of at least this many tokens have homes: so many servers at which they are read
-// while others have prompts to read, too.
-constexpr std::uint32_t kHomeSharedTokens = 1000;
-constexpr std::size_t kHomes = 1;
-// A server with fewer unread tokens has time to spare.
-constexpr std::uint64_t kSpareTokens = 4000;
 // All routers keep long prompts on the same part of a pool, and sensitive streams on the rest,
 // unless loads differ by this; so the two part also where loads are heard late.
 constexpr double kSeparationMs = 80;
@@ -114,27 +100,6 @@
     return XXH64(server.value().data(), server.value().size(), chain);
 }
 
-//! Returns the servers at which all routers expect the chain, best first.
-template<typename Predicate>
-std::vector<const KnownServer *> homesOf(const std::vector<ServerDirectory::ServerPointer> &servers,
-                                         ChainHash chain, const Predicate &isReachable)
-{
-    const auto count = static_cast<std::size_t>(
-        std::lround(kLongPromptShare * static_cast<double>(servers.size())));
-    std::vector<std::pair<std::uint64_t, const KnownServer *>> scored;
-    for (std::size_t i = 0; i < count; ++i) {
-        if (isReachable(servers[i]))
-            scored.emplace_back(rendezvousScore(servers[i]->entry.name, chain), servers[i].get());
-    }
-    const auto kept = std::min(scored.size(), kHomes);
-    std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept),
-                      scored.end(), std::greater<>());
-    std::vector<const KnownServer *> homes;
-    for (std::size_t i = 0; i < kept; ++i)
-        homes.push_back(scored[i].second);
-    return homes;
-}
-
 } // namespace
 
 double pauseSensitivity(Duration maxPause, std::uint32_t outputTokens)
@@ -146,27 +111,6 @@
     return pace * pace * length;
 }
 
-bool ServerSelector::canStartInTime(const KnownServer &server, const WorkProfile &profile,
-                                    std::uint32_t cachedTokens)
-{
-    const auto load = server.load();
-    if (profile.startWithin <= Duration::zero() || load.requests == 0)
-        return true;
-    const double slots = std::max(1U, server.entry.slots);
-    auto pending = static_cast<double>(load.prefillTokens);
-    // What waits there for a slot is admitted after the most urgent requests.
-    if (profile.isMostUrgent)
-        pending *= std::min(1.0, slots / load.requests);
-    double delayMs = pending / kMixedTokensPerMs;
-    if (load.requests >= slots && !profile.isMostUrgent)
-        delayMs += server.meanRunMs / slots * (load.requests + 1 - slots);
-    const double withinMs = toSeconds(profile.startWithin) * kMsPerSecond;
-    const double ownMs =
-        (profile.promptTokens - std::min<double>(profile.promptTokens, cachedTokens))
-        / kMixedTokensPerMs;
-    return delayMs <= std::max(withinMs - ownMs - kFirstEventMs, kMinDelayShare * withinMs);
-}
-
 ServerLoad WorkProfile::loadWith(std::uint32_t cachedTokens) const
 {
     ServerLoad load;
@@ -234,17 +178,10 @@
         std::any_of(servers.begin(), servers.end(), [&](const auto &server) {
             return isEligible(server) && !server->health.isUnreachable(now);
         });
-    const auto isReachable = [&](const ServerDirectory::ServerPointer &server) {
-        return isEligible(server) && (!isAnyReachable || !server->health.isUnreachable(now));
-    };
-    const auto shared = sharedTokens(profile);
-    std::vector<const KnownServer *> homes;
-    if (shared >= kHomeSharedTokens)
-        homes = homesOf(servers, *sharedChain(profile), isReachable);
     std::size_t position = 0;
     for (const auto &server : servers) {
         const auto serverPosition = position++;
-        if (!isReachable(server))
+        if (!isEligible(server) || (isAnyReachable && server->health.isUnreachable(now)))
             continue;
         const auto load = server->load();
         if (load.requests >= kOverbooking * server->entry.slots)
@@ -258,13 +195,6 @@
         const auto cached = profile.parts.empty()
             ? 0
             : prefixes_.cachedTokens(server->hash, profile.parts, profile.chains, now);
-        if (entry && entry->engine && !canStartInTime(*server, profile, cached))
-            continue;
-        // At a crest, reading the part once more at a third server takes what others need.
-        const bool isHome =
-            homes.empty() || std::find(homes.begin(), homes.end(), server.get()) != homes.end();
-        if (!isHome && cached < shared && load.prefillTokens > kSpareTokens)
-            continue;
         found.push_back({ server, cached, serverPosition });
     }
     return found;
--- a/src/gateway/serverselector.h
+++ b/src/gateway/serverselector.h
@@ -22,9 +22,6 @@
         with a short longest pause.
     */
     double sensitivity = 0;
-    //! Time in which the first event should come; zero where that does not matter any more.
-    Duration startWithin {};
-    bool isMostUrgent = false; //!< Servers admit it before all that wait.
 
     //! What the request adds to the load of a server that has \a cachedTokens of its prompt.
     ServerLoad loadWith(std::uint32_t cachedTokens) const;
@@ -41,10 +38,6 @@
     chunks between the tokens of all its running requests, so one long prompt makes the streams
     beside it late while other engines are idle.
 
-    Answers also the load pattern of more prompts than all engines can read: a request gets no place
-    where others would be read for so long that it comes too late, and that would make those after
-    it late in turn.
-
     Thread safety: none; use from one thread.
 */
 class ServerSelector
@@ -88,9 +81,6 @@
                                       const WorkProfile &profile,
                                       const std::vector<BackendServerName> &excluded,
                                       Instant now) const;
-    //! Whether the request would have its first event in time there, as far as is known.
-    static bool canStartInTime(const KnownServer &server, const WorkProfile &profile,
-                               std::uint32_t cachedTokens);
     double cost(const KnownServer &server, const PoolEntry *entry, const WorkProfile &profile,
                 std::uint32_t cachedTokens, Instant now) const;
     double generationCost(const WorkProfile &profile, const ServerLoad &load,
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -44,7 +44,7 @@
 
 bool StoreFeed::isJustBack() const
 {
-    return plan_.isStoreFailing() || (backSince_ && uptime() < *backSince_ + kReturnTime);
+    return plan_.isStoreOut(uptime()) || (backSince_ && uptime() < *backSince_ + kReturnTime);
 }
 
 StoreChanges StoreFeed::changesAfter(StoreRevision after) const
@@ -169,6 +169,7 @@
             [&]() -> Result<bool> {
                 BOOST_LEAF_AUTO(heard, decodeStoreChanges(body_));
                 onHeard(heard);
+                plan_.noteRouterAnswered(uptime());
                 routers_.noteAnswer(router.name, { heard.relevant, heard.age }, uptime());
                 return true;
             },
--- a/src/gateway/storeplan.cpp
+++ b/src/gateway/storeplan.cpp
@@ -20,15 +20,17 @@
 constexpr Duration kMaxFailurePause = std::chrono::milliseconds(1000);
 constexpr Duration kFailurePausePerRank = std::chrono::milliseconds(100);
 constexpr Duration kMostFailurePause = std::chrono::milliseconds(4000);
+// Time after which a router that others keep informed may rely on the store again.
+constexpr Duration kFailureMemory = std::chrono::seconds(3);
 // Time in which a call that is due has been sent.
 constexpr Duration kRetryMargin = std::chrono::milliseconds(200);
 // Least time between two calls to the store, and between two questions to routers.
 constexpr Duration kMinStorePause = std::chrono::milliseconds(150);
 constexpr Duration kMinRouterPause = std::chrono::milliseconds(30);
 // A router that has just started first meets its neighbours, and lets those before it read.
-constexpr Duration kMeetingTime = std::chrono::milliseconds(300);
-constexpr Duration kStartPausePerRank = std::chrono::milliseconds(150);
-constexpr Duration kMaxStartPause = std::chrono::milliseconds(2500);
+constexpr Duration kMeetingTime = std::chrono::milliseconds(150);
+constexpr Duration kStartPausePerRank = std::chrono::milliseconds(60);
+constexpr Duration kMaxStartPause = std::chrono::milliseconds(1500);
 
 Duration scaled(Duration duration, double factor)
 {
@@ -61,6 +63,13 @@
     storeNotBefore_ = now + failurePause_;
 }
 
+// A router that relies on others does not call the store, so that a failure long ago says nothing.
+void StorePlan::noteRouterAnswered(Duration now)
+{
+    if (isStoreFailing_ && now >= storeNotBefore_ + kFailureMemory)
+        noteStoreAnswered();
+}
+
 bool StorePlan::isStoreOut(Duration now) const
 {
     return isStoreFailing_ && now <= storeNotBefore_ + limits_.callTimeout + kRetryMargin;
--- a/src/gateway/storeplan.h
+++ b/src/gateway/storeplan.h
@@ -45,6 +45,8 @@
     void noteStoreAnswered();
     //! The store did not answer, or refused; the router has \a rank.
     void noteStoreFailed(std::size_t rank, Duration now);
+    //! Another router has answered a question.
+    void noteRouterAnswered(Duration now);
     //! Knowledge is too old to place requests, so the store is asked as soon as possible.
     void want() { isWanted_ = true; }
 
--- a/tests/gateway/testloadexchange.cpp
+++ b/tests/gateway/testloadexchange.cpp
@@ -53,6 +53,7 @@
     report.store = StoreHint { 99, Milliseconds(120) };
     report.isAsking = true;
     report.isRelayed = true;
+    report.isGreeting = true;
     report.zoneSize = 40;
     report.paces = { { 42, 305 } };
     report.broken = { 43 };
@@ -75,6 +76,7 @@
         REQUIRE(decoded.store.value().age == Milliseconds(120));
         REQUIRE(decoded.isAsking);
         REQUIRE(decoded.isRelayed);
+        REQUIRE(decoded.isGreeting);
         REQUIRE(decoded.zoneSize == 40);
         REQUIRE(decoded.paces == report.paces);
         REQUIRE(decoded.broken == report.broken);
