Gateway: Let callers wait for the first configuration for 0.3 s

Change: connections are accepted when the router is ready, at the latest after 0.3 s. Test: "a request arrives before the router has read its configuration" (red before: 503).

--- a/include/crocusport/transport/httpserver.h
+++ b/include/crocusport/transport/httpserver.h
@@ -55,6 +55,9 @@
     const SocketAddress &address() const;
     //! Replaces the limits, for requests that begin from now on.
     void setLimits(const HttpServerLimits &limits);
+    //! Leaves new connections to the kernel, which keeps them and what they send, until resumed.
+    void pauseAccepting();
+    void resumeAccepting();
     //! Closes the listening socket and idle connections; open exchanges go on, without keep-alive.
     void stopAccepting();
     //! Answers from now on ask callers to close; new connections are still accepted.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kSendingTime = std::chrono::milliseconds(400);
 // The first routers of a zone have entries in the store; the second one is for when the first dies.
 constexpr std::size_t kRegisteredRouters = 2;
+// For so long callers wait for a router that starts; then they hear that it is not configured.
+constexpr Duration kMaxStartWait = std::chrono::milliseconds(300);
 // Within this time routers that start have met, and know their ranks.
 constexpr Duration kMeetingTime = std::chrono::milliseconds(2500);
 // Entries of routers that are silent for so long are removed.
@@ -127,6 +129,8 @@
                                              ForwardedRequest::start(services_,
                                                                      std::move(exchange));
                                          }));
+    // Callers that arrive while the router starts wait for its first configuration.
+    callers_->pauseAccepting();
     BOOST_LEAF_ASSIGN(ready_,
                       HttpServer::create(loop_, settings_.ready, {},
                                          [this](const std::shared_ptr<HttpExchange> &exchange) {
@@ -150,7 +154,11 @@
                            .add("reason", fault)
                            .text());
         },
-        [this] { exchange_->report(); });
+        [this] {
+            exchange_->report();
+            if (isReady())
+                callers_->resumeAccepting();
+        });
     registration_ =
         std::make_unique<Registration>(storeClient_, formats_, settings_.store, exchange_->self());
     tickTimer_.startPeriodic(kTickInterval);
@@ -408,6 +416,8 @@
             ++removal;
         }
     }
+    if (now - startedAt_ >= kMaxStartWait && !stopRequestedAt_)
+        callers_->resumeAccepting();
     exchange_->tick(now);
     updateRegistration();
     if (!waiting_.empty() && !waitingTimer_.isActive())
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -81,7 +81,7 @@
 
 void HttpServer::Private::resumeAccepting()
 {
-    if (!listener || connections.size() >= limits.maxConnections)
+    if (!listener || isPaused || connections.size() >= limits.maxConnections)
         return;
     isAtLimit = false;
     evconnlistener_enable(listener);
@@ -141,6 +141,19 @@
     d_->limits = limits;
 }
 
+void HttpServer::pauseAccepting()
+{
+    d_->isPaused = true;
+    if (d_->listener)
+        evconnlistener_disable(d_->listener);
+}
+
+void HttpServer::resumeAccepting()
+{
+    d_->isPaused = false;
+    d_->resumeAccepting();
+}
+
 void HttpServer::stopAccepting()
 {
     d_->stopAccepting();
--- a/src/transport/httpserver_p.h
+++ b/src/transport/httpserver_p.h
@@ -44,6 +44,7 @@
     std::vector<std::unique_ptr<ServerConnection>> removed;
     std::size_t openExchanges = 0;
     bool isAtLimit = false;  //!< Accepting is paused because of maxConnections.
+    bool isPaused = false;   //!< Accepting is paused by the server's user.
     bool isClosing = false;  //!< Answers ask callers to close.
     bool isStopping = false; //!< The listener is closed.
 };
--- a/tests/platform/testforwarding.cpp
+++ b/tests/platform/testforwarding.cpp
@@ -50,6 +50,14 @@
         REQUIRE(contains(client, "Retry-After: 0."));
         REQUIRE(deployment.readyStatus() == 503);
     }
+    // Guards against callers that are refused in the moment in which a router starts again.
+    WHEN("a request arrives before the router has read its configuration")
+    {
+        deployment.configure(7);
+        deployment.enter(deployment.first);
+        client.send(Deployment::request("safe"));
+        REQUIRE(answered("200"));
+    }
     WHEN("the configuration and a server are known")
     {
         deployment.configure(7);
