--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -656,7 +656,8 @@
         .add("prompt", work_.promptTokens)
         .add("late", latenessName(lateness))
         .add("configuration", table_ ? table_->version().value() : 0)
-        .add("knowledge_age_ms", knownAgeMs());
+        .add("knowledge_age_ms", knownAgeMs())
+        .add("load_age_ms", std::chrono::duration_cast<Milliseconds>(services_.loadAge()).count());
     account_.describe(line, now);
     services_.log.write(line.text());
     services_.open.erase(shared_from_this());
