Gateway: Decide once what was decided for each router and datagram

RouterDirectory counted the fleet anew for each router it looked at, several times for each datagram that arrives; each datagram was parsed as a list of neighbours first and as a report after that; the tick enabled the callers' listener ten times a second for good. Whether a server takes requests, and that it is known to leave, stood in two places each; the silence limit of routers, too. Change: the neighbourhood is decided once for each question; datagrams that are no list of neighbours are told by their first byte; resuming does nothing where nothing is paused; takesRequests(), one check in onServerLeaving(), sendTo() and one kSilenceLimit serve all. StoreFeed loses a member and a wrapper that nothing needs. Behaviour is meant to stay as it is. Checks: tests of gateway, platform and transport in the release build, formatter, names, linter on the changed sources.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -340,8 +340,7 @@
 // While a connection was made, its server may have begun to leave.
 bool ForwardedRequest::isStillSound() const
 {
-    return server_->isUsable() && server_->health.pausedUntil() <= monotonicNow()
-        && services_.isKnowledgeFresh();
+    return server_->takesRequests(monotonicNow()) && services_.isKnowledgeFresh();
 }
 
 // A silent attempt is given up only when another one may take its place.
@@ -386,7 +385,7 @@
 {
     if (answer_->retryAfter)
         server_->health.notePause(*answer_->retryAfter, monotonicNow());
-    if (answer_->isLeaving && !server_->isLeaving)
+    if (answer_->isLeaving)
         services_.serverLeaves(*server_);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -332,7 +332,8 @@
 
 void Gateway::onServerLeaving(KnownServer &server, std::string_view source)
 {
-    server.isLeaving = true;
+    if (std::exchange(server.isLeaving, true))
+        return;
     backends_.closeIdle(server.entry.address);
     log_.write(LogLine("server_leaving")
                    .add("server", server.entry.name.value())
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -14,8 +14,6 @@
 
 using Json = nlohmann::json;
 
-// A router that is silent for this long has no requests that it will report.
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(2500);
 // Sensitivities are sent in hundredths.
 constexpr double kSensitivityScale = 100;
 
@@ -24,6 +22,7 @@
 
 constexpr std::size_t kReportFields = 13;
 constexpr std::size_t kNeighbourFields = 3;
+constexpr char kNeighboursStart = '\x81'; // A CBOR array of one item.
 constexpr unsigned kLeavingFlag = 1;
 constexpr unsigned kZoneFlag = 2;
 constexpr unsigned kAskingFlag = 4;
@@ -108,12 +107,13 @@
     report.router.address = SocketAddress(text(json[1]));
     report.router.zone = AvailabilityZone(text(json[2]));
     report.sequence = number(json[3]);
-    report.isLeaving = (number(json[4]) & kLeavingFlag) != 0;
-    report.isAsking = (number(json[4]) & kAskingFlag) != 0;
-    report.isGreeting = (number(json[4]) & kGreetingFlag) != 0;
-    report.isRelayed = (number(json[4]) & kRelayedFlag) != 0;
+    const auto flags = number(json[4]);
+    report.isLeaving = (flags & kLeavingFlag) != 0;
+    report.isAsking = (flags & kAskingFlag) != 0;
+    report.isGreeting = (flags & kGreetingFlag) != 0;
+    report.isRelayed = (flags & kRelayedFlag) != 0;
     report.zoneSize = std::min<std::size_t>(number(json[12]), kMaxZoneSize);
-    report.scope = (number(json[4]) & kZoneFlag) != 0 ? ReportScope::Zone : ReportScope::Router;
+    report.scope = (flags & kZoneFlag) != 0 ? ReportScope::Zone : ReportScope::Router;
     if (isArrayOf(json[8], kPairFields))
         report.store = StoreHint { static_cast<StoreRevision>(number(json[8][0])),
                                    Milliseconds(static_cast<std::int64_t>(number(json[8][1]))) };
@@ -158,7 +158,8 @@
 
 std::optional<std::vector<RouterEntry>> decodeNeighbours(std::string_view bytes)
 {
-    if (!findCborFault(bytes, kLimits).empty())
+    // Most datagrams are reports, which begin otherwise; they must not be parsed twice.
+    if (!bytes.starts_with(kNeighboursStart) || !findCborFault(bytes, kLimits).empty())
         return std::nullopt;
     const auto json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
     if (!isArrayOf(json, 1) || !json[0].is_array())
@@ -175,7 +176,7 @@
 
 bool PeerLoads::Loads::isCurrent(Instant now) const
 {
-    return heard && now - *heard <= kSilenceLimit;
+    return heard && now - *heard <= RouterDirectory::kSilenceLimit;
 }
 
 bool PeerLoads::replace(Loads &loads, const LoadReport &report, Instant now)
--- a/src/gateway/routerdirectory.cpp
+++ b/src/gateway/routerdirectory.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// A router reports at least twice a second; one that is silent for this long has probably ended.
-constexpr Duration kSilenceLimit = std::chrono::milliseconds(2500);
 // A router that is neither registered nor heard is forgotten after this time.
 constexpr Duration kForgetTime = std::chrono::seconds(15);
 // A router that did not answer is not asked again for this long.
@@ -116,17 +114,17 @@
     return fleetSize() <= kMaxDirectRouters;
 }
 
-bool RouterDirectory::isNear(const Known &known) const
+RouterDirectory::Neighbourhood RouterDirectory::neighbourhood(const AvailabilityZone &zone) const
 {
-    return known.router.zone == zone_ || isDirect();
+    return { zone, isDirect() };
 }
 
 std::vector<RouterEntry> RouterDirectory::near() const
 {
     std::vector<RouterEntry> routers;
-    const bool isAll = isDirect();
+    const auto neighbourhood = this->neighbourhood(zone_);
     for (const auto &[name, known] : routers_) {
-        if (isAll || known.router.zone == zone_)
+        if (neighbourhood.has(known))
             routers.push_back(known.router);
     }
     return routers;
@@ -135,9 +133,9 @@
 std::vector<RouterEntry> RouterDirectory::neighboursOf(const RouterEntry &asker, Duration now) const
 {
     std::vector<RouterEntry> routers;
-    const bool isAll = isDirect();
+    const auto neighbourhood = this->neighbourhood(asker.zone);
     for (const auto &[name, known] : routers_) {
-        if (known.isHeard(now) && name != asker.name && (isAll || known.router.zone == asker.zone))
+        if (known.isHeard(now) && name != asker.name && neighbourhood.has(known))
             routers.push_back(known.router);
     }
     return routers;
@@ -145,27 +143,30 @@
 
 std::size_t RouterDirectory::heardNear(Duration now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(routers_.begin(), routers_.end(), [&](const auto &item) {
-            return item.second.isHeard(now) && isNear(item.second);
-        }));
+    return countHeardNear(routers_.end(), now);
 }
 
 std::size_t RouterDirectory::rank(Duration now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(routers_.begin(), routers_.lower_bound(self_), [&](const auto &item) {
-            return item.second.isHeard(now) && isNear(item.second);
-        }));
+    return countHeardNear(routers_.lower_bound(self_), now);
+}
+
+std::size_t RouterDirectory::countHeardNear(Routers::const_iterator end, Duration now) const
+{
+    const auto neighbourhood = this->neighbourhood(zone_);
+    return static_cast<std::size_t>(std::count_if(routers_.begin(), end, [&](const auto &item) {
+        return item.second.isHeard(now) && neighbourhood.has(item.second);
+    }));
 }
 
 std::optional<RouterEntry> RouterDirectory::source(bool isAnyRank, Duration maxAge,
                                                    Duration now) const
 {
+    const auto neighbourhood = this->neighbourhood(zone_);
     for (const auto &[name, known] : routers_) {
         if (name > self_ && !isAnyRank)
             break;
-        if (known.isHeard(now) && isNear(known) && known.hintRevision
+        if (known.isHeard(now) && neighbourhood.has(known) && known.hintRevision
             && now - known.hintContact <= maxAge && known.avoidedUntil <= now)
             return known.router;
     }
@@ -175,8 +176,9 @@
 StoreRevision RouterDirectory::latestHint(Duration now) const
 {
     StoreRevision latest = 0;
+    const auto neighbourhood = this->neighbourhood(zone_);
     for (const auto &[name, known] : routers_) {
-        if (known.isHeard(now) && known.hintRevision && isNear(known))
+        if (known.isHeard(now) && known.hintRevision && neighbourhood.has(known))
             latest = std::max(latest, *known.hintRevision);
     }
     return latest;
--- a/src/gateway/routerdirectory.h
+++ b/src/gateway/routerdirectory.h
@@ -33,6 +33,10 @@
 class RouterDirectory
 {
 public:
+    //! A router reports at least twice a second; one that is silent for this long has probably
+    //! ended, and its requests with it.
+    static constexpr Duration kSilenceLimit = std::chrono::milliseconds(2500);
+
     RouterDirectory(RouterName self, AvailabilityZone zone)
         : self_(std::move(self)), zone_(std::move(zone))
     { }
@@ -99,11 +103,22 @@
         Duration at {};
     };
 
-    bool isNear(const Known &known) const;
+    //! Whose routers belong together, decided once for all of them.
+    struct Neighbourhood
+    {
+        const AvailabilityZone &zone;
+        bool isWholeFleet = false;
+
+        bool has(const Known &known) const { return isWholeFleet || known.router.zone == zone; }
+    };
+    using Routers = std::map<RouterName, Known>;
+
+    Neighbourhood neighbourhood(const AvailabilityZone &zone) const;
+    std::size_t countHeardNear(Routers::const_iterator end, Duration now) const;
 
     RouterName self_;
     AvailabilityZone zone_;
-    std::map<RouterName, Known> routers_;
+    Routers routers_;
     std::map<AvailabilityZone, ZoneSize> zoneSizes_; //!< As the zones say.
 };
 
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -154,7 +154,7 @@
     }
     for (const auto &[hash, start] : report.leaving) {
         const auto server = parts_.servers.find(hash);
-        if (server && server->entry.start == start && !server->isLeaving)
+        if (server && server->entry.start == start)
             parts_.serverLeaves(*server, report.router.name);
     }
     for (const auto &suspicion : report.suspicions)
@@ -182,8 +182,13 @@
 void RouterExchange::relay(LoadReport report)
 {
     report.isRelayed = true;
+    sendTo(routers_.near(), report);
+}
+
+void RouterExchange::sendTo(const std::vector<RouterEntry> &routers, const LoadReport &report)
+{
     const auto datagram = encodeLoadReport(report);
-    for (const auto &router : routers_.near())
+    for (const auto &router : routers)
         datagrams_->send(router.address, datagram);
 }
 
@@ -276,9 +281,7 @@
         suspicions_.pop_front();
     for (const auto &[at, suspicion] : suspicions_)
         report.suspicions.push_back(suspicion);
-    const auto datagram = encodeLoadReport(report);
-    for (const auto &router : routers_.near())
-        datagrams_->send(router.address, datagram);
+    sendTo(routers_.near(), report);
 }
 
 void RouterExchange::sendZoneSum(Instant now)
@@ -298,9 +301,7 @@
         report.chains.assign(zoneChains_.begin(), zoneChains_.end());
         zoneChains_.clear();
     }
-    const auto datagram = encodeLoadReport(report);
-    for (const auto &router : routers_.farRouters(++zoneTurn_))
-        datagrams_->send(router.address, datagram);
+    sendTo(routers_.farRouters(++zoneTurn_), report);
 }
 
 // Routers that start do not know each other: they ask the seeds, which are told by the same
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -85,6 +85,7 @@
     void applyHints(const LoadReport &report, Instant now);
     void noteZoneChain(ServerHash server, ChainHash chain);
     void relay(LoadReport report);
+    void sendTo(const std::vector<RouterEntry> &routers, const LoadReport &report);
     void askForNeighbours(Instant now);
     LoadReport makeReport();
     Duration reportInterval() const;
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -107,6 +107,8 @@
     {
         return !isGone && !isSuperseded && !isLeaving && entry.state == BackendServerState::Live;
     }
+    //! Whether the server takes requests of this router now.
+    bool takesRequests(Instant now) const { return isUsable() && health.pausedUntil() <= now; }
     ServerLoad load() const;
     //! A request has run to its end in \a time.
     void noteRun(Duration time);
--- a/src/gateway/serverselector.cpp
+++ b/src/gateway/serverselector.cpp
@@ -170,7 +170,7 @@
     std::vector<Candidate> found;
     const auto &servers = directory_.pool(pool);
     const auto isEligible = [&](const ServerDirectory::ServerPointer &server) {
-        return server->isUsable() && server->health.pausedUntil() <= now
+        return server->takesRequests(now)
             && std::find(excluded.begin(), excluded.end(), server->entry.name) == excluded.end();
     };
     // A server that cannot be reached seems idle, and would draw what waits for the others.
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -28,8 +28,8 @@
                      const FormatTable &formats, RouterDirectory &routers, Options options,
                      StoreMirror::ChangeHandler onChange, ReachHandler onReachChanged,
                      NewsHandler onNews)
-    : loop_(loop), storeClient_(storeClient), routerClient_(routerClient), formats_(formats),
-      routers_(routers), options_(std::move(options)), onReachChanged_(std::move(onReachChanged)),
+    : storeClient_(storeClient), routerClient_(routerClient), formats_(formats), routers_(routers),
+      options_(std::move(options)), onReachChanged_(std::move(onReachChanged)),
       onNews_(std::move(onNews)), mirror_(std::move(onChange)), plan_(options_.limits, uptime()),
       timer_(loop, [this] { onTimer(); })
 {
@@ -74,7 +74,7 @@
     }
     const auto next = plan_.next(routers_, mirror_.revision(), uptime());
     if (next.at > uptime())
-        callAfter(next.at - uptime());
+        timer_.startOnce(next.at - uptime());
     else if (next.router)
         callRouter(*next.router);
     else
@@ -85,7 +85,7 @@
 void StoreFeed::arrange()
 {
     const auto next = plan_.next(routers_, mirror_.revision(), uptime());
-    callAfter(std::max(next.at - uptime(), Duration::zero()));
+    timer_.startOnce(std::max(next.at - uptime(), Duration::zero()));
 }
 
 void StoreFeed::reconsider()
@@ -100,11 +100,6 @@
     reconsider();
 }
 
-void StoreFeed::callAfter(Duration delay)
-{
-    timer_.startOnce(delay);
-}
-
 void StoreFeed::callStore()
 {
     auto request = step_ == Step::Listing ? formats_.rangeCall(kAllKeys, listedAfter_)
@@ -150,7 +145,6 @@
 
 void StoreFeed::onEnd(const HttpCallEnd &end)
 {
-    timer_.stop();
     // Also when taking the answer in fails, the next question must follow.
     arrange();
     if (asked_)
--- a/src/gateway/storefeed.h
+++ b/src/gateway/storefeed.h
@@ -72,7 +72,6 @@
 
     void onTimer();
     void arrange();
-    void callAfter(Duration delay);
     void callStore();
     void callRouter(const RouterEntry &router);
     void start(HttpClient &client, HttpCallRequest request);
@@ -85,7 +84,6 @@
     void succeedStore();
     void noteNews(std::optional<Duration> contactBefore, StoreRevision relevantBefore);
 
-    EventLoop &loop_;
     HttpClient &storeClient_;
     HttpClient &routerClient_;
     const FormatTable &formats_;
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -150,8 +150,8 @@
 
 void HttpServer::resumeAccepting()
 {
-    d_->isPaused = false;
-    d_->resumeAccepting();
+    if (std::exchange(d_->isPaused, false))
+        d_->resumeAccepting();
 }
 
 void HttpServer::stopAccepting()
