Gateway: Log which requests are suspected to crash servers

A suspicion is now a log line with its fingerprint, crash, count and source; lines of attempts and requests name the fingerprint, failed attempts how they failed, and a gauge counts what is refused. No decision changes.

--- a/include/crocusport/state/crashledger.h
+++ b/include/crocusport/state/crashledger.h
@@ -4,6 +4,7 @@
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 
+#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
@@ -17,6 +18,13 @@
 */
 std::string crashId(const BackendServerName &server, StartNumber start);
 
+//! A request that was under way when a backend server crashed.
+struct CrashSuspicion
+{
+    Fingerprint fingerprint;
+    std::string crash; //!< See crashId().
+};
+
 /*!
     Counts for each fingerprint the backend-server crashes during which it ran
     (docs/design.md section 4.5). Crash sets only grow, so that reports merge in any order and any
@@ -27,8 +35,11 @@
 class CrashLedger
 {
 public:
-    //! Merges the report that \a fingerprint ran during \a crash. Fingerprint 0 means none.
-    void add(Fingerprint fingerprint, const std::string &crash, Instant now);
+    /*!
+        Merges the report that \a fingerprint ran during \a crash; returns whether it was new.
+        Fingerprint 0 means none.
+    */
+    bool add(Fingerprint fingerprint, const std::string &crash, Instant now);
     //! Counts \a crash for the marked \a fingerprint and, from now on, for no other.
     void attribute(Fingerprint fingerprint, const std::string &crash, Instant now);
     //! Forgives \a fingerprint its crashes so far, because a request with it completed.
@@ -36,6 +47,10 @@
     //! Forgets crashes that happened long ago. Linear.
     void expire(Instant now);
 
+    //! Returns the number of crashes that count for \a fingerprint.
+    std::size_t crashCount(Fingerprint fingerprint) const;
+    //! Returns the number of fingerprints that are refused at \a now. Linear.
+    std::size_t refusedCount(Instant now) const;
     //! Returns whether requests with \a fingerprint must run in isolation.
     bool isMarked(Fingerprint fingerprint) const;
     //! Returns until when \a fingerprint is refused, if it is at \a now.
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -296,6 +296,7 @@
         if (isShared && work_.parts[i].tokens >= kReportedPartTokens)
             services_.chainSent(hash, work_.chains[i]);
     }
+    lastFailure_ = HttpFailure::None;
     answer_.reset();
     body_.clear();
     splitter_.clear();
@@ -489,6 +490,7 @@
 void ForwardedRequest::noteFault(AttemptFault fault, const HttpCallEnd &callEnd)
 {
     const auto now = monotonicNow();
+    lastFailure_ = callEnd.failure;
     // A server from which the request was withdrawn is sound, and only wants no more of them.
     if (fault != AttemptFault::NotSent)
         server_->health.noteBrokenConnection(now);
@@ -497,7 +499,8 @@
     const bool isClosed = callEnd.failure == HttpFailure::ClosedBeforeResponse
         || callEnd.failure == HttpFailure::ClosedMidResponse;
     if (fault == AttemptFault::Broken && isClosed)
-        services_.crashSuspected(fingerprint_, crashId(server_->entry.name, server_->entry.start));
+        services_.crashSuspected(
+            { fingerprint_, crashId(server_->entry.name, server_->entry.start) });
     releaseServer();
 }
 
@@ -652,6 +655,7 @@
         .add("attempts", sentAttempts_)
         .add("unsent", unsentAttempts_)
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
+        .add("fingerprint", fingerprint_.value())
         .add("prompt", work_.promptTokens)
         .add("late", latenessName(lateness))
         .add("configuration", table_ ? table_->version().value() : 0)
@@ -672,7 +676,9 @@
 {
     LogLine line(event);
     line.add("id", request_.id)
+        .add("fingerprint", fingerprint_.value())
         .add("code", static_cast<int>(code))
+        .add("failure", httpFailureName(lastFailure_))
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("status", answer_ ? answer_->status : 0)
         .add("attempts", sentAttempts_)
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -120,7 +120,8 @@
     AnswerMemory::Share unreadAnswer_;         //!< For what the caller has not read.
     std::optional<std::uint64_t> lastEventId_; //!< That the caller has.
     std::vector<BackendServerName> excluded_;
-    int sentAttempts_ = 0; //!< That may have reached a server.
+    HttpFailure lastFailure_ = HttpFailure::None; //!< Of the last attempt.
+    int sentAttempts_ = 0;                        //!< That may have reached a server.
     int unsentAttempts_ = 0;
     bool isStream_ = false;   //!< The answer in progress is a stream of events.
     bool mayHaveRun_ = false; //!< An attempt may have run, or runs.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,9 +101,7 @@
           [this](const PoolName &pool) -> RetryWindow & { return retryWindow(pool); },
           [this] { onLoadChanged(); },
           [this](ServerHash server, ChainHash chain) { exchange_->noteChain(server, chain); },
-          [this](Fingerprint fingerprint, const std::string &crash) {
-              noteCrashSuspicion(fingerprint, crash);
-          },
+          [this](const CrashSuspicion &suspicion) { noteCrashSuspicion(suspicion); },
           [this](KnownServer &server, double ms) {
               server.pace.note(ms, monotonicNow());
               exchange_->notePace(server.hash, ms);
@@ -176,7 +174,6 @@
         settings_,
         directory_,
         prefixes_,
-        crashes_,
         log_,
         random_,
         [this] { return feed_ ? feed_->hint() : std::nullopt; },
@@ -188,6 +185,9 @@
         [this](KnownServer &server, const RouterName &from) {
             onServerLeaving(server, from.value());
         },
+        [this](const CrashSuspicion &suspicion, const RouterName &from) {
+            takeCrashSuspicion(suspicion, from);
+        },
     };
     BOOST_LEAF_ASSIGN(exchange_, RouterExchange::create(loop_, std::move(parts)));
     return {};
@@ -342,12 +342,24 @@
     exchange_->scheduleReport();
 }
 
-void Gateway::noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash)
+void Gateway::noteCrashSuspicion(const CrashSuspicion &suspicion)
 {
-    if (fingerprint.value() == 0)
+    if (suspicion.fingerprint.value() == 0)
         return;
-    crashes_.add(fingerprint, crash, monotonicNow());
-    exchange_->noteCrashSuspicion(fingerprint, crash);
+    takeCrashSuspicion(suspicion, settings_.router);
+    exchange_->noteCrashSuspicion(suspicion);
+}
+
+void Gateway::takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source)
+{
+    if (!crashes_.add(suspicion.fingerprint, suspicion.crash, monotonicNow()))
+        return;
+    log_.write(LogLine("crash_suspected")
+                   .add("fingerprint", suspicion.fingerprint.value())
+                   .add("crash", suspicion.crash)
+                   .add("crashes", crashes_.crashCount(suspicion.fingerprint))
+                   .add("source", source.value())
+                   .text());
 }
 
 Duration Gateway::configurationAge() const
@@ -401,6 +413,9 @@
     metrics_.setGauge("crocusport_answer_memory_bytes",
                       "Shared memory that answers hold which cannot be passed on yet.",
                       static_cast<double>(answerMemory_.borrowedBytes()));
+    metrics_.setGauge("crocusport_refused_fingerprints",
+                      "Requests that are refused because servers crashed while they ran.",
+                      static_cast<double>(crashes_.refusedCount(monotonicNow())));
     metrics_.setGauge("crocusport_callback_failures", "Callbacks that ended with an exception.",
                       static_cast<double>(callbackFailures()));
     exchange.reply(kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,7 +64,9 @@
     StorePlan::Limits planLimits() const;
     bool isKnowledgeFresh();
     std::optional<StoreChanges> storeChanges(StoreRevision after) const;
-    void noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash);
+    //! A request of this router was under way when a server crashed.
+    void noteCrashSuspicion(const CrashSuspicion &suspicion);
+    void takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source);
     Duration configurationAge() const;
     RetryWindow &retryWindow(const PoolName &pool);
     void answerReady(HttpExchange &exchange) const;
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -57,7 +57,7 @@
     //! The load of a server has changed, and what others should know with it.
     std::function<void()> loadChanged;
     std::function<void(ServerHash, ChainHash)> chainSent;
-    std::function<void(Fingerprint, const std::string &crash)> crashSuspected;
+    std::function<void(const CrashSuspicion &)> crashSuspected;
     std::function<void(KnownServer &, double ms)> paceSeen;
     //! Mean age of the loads that other routers have reported.
     std::function<Duration()> loadAge;
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -6,6 +6,7 @@
 #include "serverdirectory.h"
 
 #include "crocusport/coordination/keyvaluestore.h"
+#include "crocusport/state/crashledger.h"
 #include "crocusport/state/error.h"
 
 #include <map>
@@ -18,13 +19,6 @@
 
 namespace crocusport {
 
-//! A request that was under way when its backend server's connection broke.
-struct CrashSuspicion
-{
-    Fingerprint fingerprint;
-    std::string crash; //!< See crashId().
-};
-
 //! Whose requests a report counts.
 enum class ReportScope : std::uint8_t {
     Router, //!< Those of the router that sends it.
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -158,7 +158,7 @@
             parts_.serverLeaves(*server, report.router.name);
     }
     for (const auto &suspicion : report.suspicions)
-        parts_.crashes.add(suspicion.fingerprint, suspicion.crash, now);
+        parts_.crashSuspected(suspicion, report.router.name);
 }
 
 // The greeting tells a router that starts at once whom it can ask for what the store holds.
@@ -215,9 +215,9 @@
         newPaces_.emplace_back(server, static_cast<std::uint32_t>(ms * kPaceUnitsPerMs));
 }
 
-void RouterExchange::noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash)
+void RouterExchange::noteCrashSuspicion(const CrashSuspicion &suspicion)
 {
-    suspicions_.emplace_back(monotonicNow(), CrashSuspicion { fingerprint, crash });
+    suspicions_.emplace_back(monotonicNow(), suspicion);
     scheduleReport();
 }
 
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -5,7 +5,6 @@
 #include "storemirror.h"
 
 #include "crocusport/gateway/gatewaysettings.h"
-#include "crocusport/state/crashledger.h"
 #include "crocusport/transport/datagramsocket.h"
 #include "crocusport/transport/httpserver.h"
 #include "crocusport/transport/logwriter.h"
@@ -36,7 +35,6 @@
         const GatewaySettings &settings;
         ServerDirectory &servers;
         PrefixMemory &prefixes;
-        CrashLedger &crashes;
         LogWriter &log;
         std::mt19937_64 &random;
         std::function<std::optional<StoreHint>()> storeHint;
@@ -46,6 +44,8 @@
         std::function<void()> routersHeard;
         //! A router has heard from the server that it leaves.
         std::function<void(KnownServer &server, const RouterName &from)> serverLeaves;
+        //! A request of another router was under way when a server crashed.
+        std::function<void(const CrashSuspicion &, const RouterName &from)> crashSuspected;
     };
 
     //! Opens the ports for datagrams and questions. Fails with ListenFailed.
@@ -67,7 +67,7 @@
     //! A prompt was sent to the server and will be held there.
     void noteChain(ServerHash server, ChainHash chain);
     void notePace(ServerHash server, double ms);
-    void noteCrashSuspicion(Fingerprint fingerprint, const std::string &crash);
+    void noteCrashSuspicion(const CrashSuspicion &suspicion);
     //! The set of servers has changed, so that loads must be summed up anew.
     void refreshLoads();
     //! To be called several times a second.
--- a/src/state/crashledger.cpp
+++ b/src/state/crashledger.cpp
@@ -1,5 +1,6 @@
 #include "crocusport/state/crashledger.h"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace crocusport {
@@ -18,19 +19,20 @@
     return server.value() + "#" + std::to_string(start.value());
 }
 
-void CrashLedger::add(Fingerprint fingerprint, const std::string &crash, Instant now)
+bool CrashLedger::add(Fingerprint fingerprint, const std::string &crash, Instant now)
 {
     if (fingerprint.value() == 0)
-        return;
+        return false;
     const auto attribution = attributions_.find(crash);
     if (attribution != attributions_.end() && attribution->second.fingerprint != fingerprint)
-        return;
+        return false;
     auto &entry = entries_[fingerprint];
     if (entry.cleared.contains(crash) || !entry.crashes.insert(crash).second)
-        return;
+        return false;
     entry.lastCrash = now;
     if (entry.crashes.size() >= kCrashesToRefuse)
         entry.refusedUntil = now + kRefusalTime;
+    return true;
 }
 
 void CrashLedger::attribute(Fingerprint fingerprint, const std::string &crash, Instant now)
@@ -57,6 +59,20 @@
     std::erase_if(attributions_, [&](const auto &item) { return item.second.at + kMemory <= now; });
 }
 
+std::size_t CrashLedger::crashCount(Fingerprint fingerprint) const
+{
+    const auto found = entries_.find(fingerprint);
+    return found == entries_.end() ? 0 : found->second.crashes.size();
+}
+
+std::size_t CrashLedger::refusedCount(Instant now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(), [&](const auto &item) {
+            return item.second.refusedUntil && *item.second.refusedUntil > now;
+        }));
+}
+
 bool CrashLedger::isMarked(Fingerprint fingerprint) const
 {
     if (entries_.empty())
