--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -79,16 +79,21 @@
 Deployment::Deployment(LoopRunner &loopRunner, const FormatTable &formats,
                        Milliseconds revocationBound)
     : runner(loopRunner), store(runner.loop()), first(runner.loop(), "first"),
-      second(runner.loop(), "second")
+      second(runner.loop(), "second"), formats_(formats), revocationBound_(revocationBound)
+{
+    gateway = startRouter("router-1");
+}
+
+std::unique_ptr<Gateway> Deployment::startRouter(const std::string &name)
 {
     GatewaySettings settings;
-    settings.router = RouterName("router-1");
+    settings.router = RouterName(name);
     settings.zone = AvailabilityZone("zone-1");
     settings.callers = SocketAddress("127.0.0.1:0");
     settings.ready = SocketAddress("127.0.0.1:0");
     settings.ip = "127.0.0.1";
     settings.store = store.address();
-    settings.revocationBound = revocationBound;
+    settings.revocationBound = revocationBound_;
     settings.isRevocationStrict = true;
     settings.configurationBound = std::chrono::milliseconds(2000);
     settings.leavingBound = std::chrono::milliseconds(2000);
@@ -99,11 +104,17 @@
     settings.storePollInterval = std::chrono::milliseconds(20);
     settings.reportInterval = std::chrono::milliseconds(100);
     const int discarded = open("/dev/null", O_WRONLY | O_CLOEXEC);
-    gateway =
-        handleErrors([&] { return Gateway::create(runner.loop(), settings, formats, discarded); },
-                     [](const Error &error) -> std::unique_ptr<Gateway> {
-                         throw std::runtime_error(error.message);
-                     });
+    return handleErrors(
+        [&] { return Gateway::create(runner.loop(), settings, formats_, discarded); },
+        [](const Error &error) -> std::unique_ptr<Gateway> {
+            throw std::runtime_error(error.message);
+        });
+}
+
+void Deployment::restart()
+{
+    gateway.reset();
+    gateway = startRouter("router-1");
 }
 
 void Deployment::configure(int version, const std::string &key)
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -63,6 +63,10 @@
     static std::string request(const std::string &kind, const std::string &extra = {},
                                const std::string &key = "key-1");
     int readyStatus();
+    //! Starts another router of the same fleet.
+    std::unique_ptr<Gateway> startRouter(const std::string &name);
+    //! Ends the router without warning and starts it again, with nothing but what the store holds.
+    void restart();
 
     LoopRunner &runner;
     StandInStore store;
@@ -71,6 +75,8 @@
     std::unique_ptr<Gateway> gateway;
 
 private:
+    const FormatTable &formats_;
+    Milliseconds revocationBound_;
     std::uint64_t sequence_ = 0;
 };
 
--- a/tests/platform/standinstore.cpp
+++ b/tests/platform/standinstore.cpp
@@ -65,6 +65,8 @@
         const auto transaction = Json::parse(exchange->body());
         for (const auto &item : transaction.at("puts"))
             put(item.at("key"), *fromBase64(item.at("value").get<std::string>()));
+        for (const auto &key : transaction.at("deletes"))
+            erase(key);
         exchange->reply(200, {}, Json { { "revision", revision_ } }.dump());
     } else {
         exchange->reply(200, {}, R"({"ttlMs":12000})");
