Gateway: Suspect requests without a body of crashes too

Cause: a request without a body had fingerprint 0, which the ledger takes for none. That was meant to spare what many callers send, which is under way wherever a server crashes. Every request now has a fingerprint, and what spares the popular ones is what tells them apart: they complete. A request that has completed within half a minute is not suspected, and completing forgives it the crashes before.

Red before, green now: tests/platform/testcrashingrequests.cpp, without a body.

--- a/include/crocusport/state/crashledger.h
+++ b/include/crocusport/state/crashledger.h
@@ -44,6 +44,12 @@
     void attribute(Fingerprint fingerprint, const std::string &crash, Instant now);
     //! Forgives \a fingerprint its crashes so far, because a request with it completed.
     void clear(Fingerprint fingerprint);
+    /*!
+        A request with \a fingerprint has run to its end at \a now: its crashes so far are
+        forgiven, and those of the next half minute do not count, since a request that many callers
+        send is under way wherever a server crashes.
+    */
+    void noteCompleted(Fingerprint fingerprint, Instant now);
     //! Forgets crashes that happened long ago. Linear.
     void expire(Instant now);
 
@@ -74,6 +80,7 @@
 
     std::unordered_map<Fingerprint, Entry> entries_;
     std::unordered_map<std::string, Attribution> attributions_;
+    std::unordered_map<Fingerprint, Instant> completed_;
 };
 
 } // namespace crocusport
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -198,10 +198,7 @@
     auto hash = XXH64(target.data(), target.size(), 0);
     if (request_.key)
         hash = XXH64(request_.key->data(), request_.key->size(), hash);
-    // Requests without a body are told apart by nothing that could crash a server.
-    fingerprint_ = exchange_->body().empty()
-        ? Fingerprint(0)
-        : Fingerprint(XXH64(exchange_->body().data(), exchange_->body().size(), hash));
+    fingerprint_ = Fingerprint(XXH64(exchange_->body().data(), exchange_->body().size(), hash));
 }
 
 // The configuration may have changed while the request waited.
@@ -470,6 +467,7 @@
     mayHaveRun_ = true;
     const bool isFailure = answer_->status >= kServerError;
     server_->health.noteAnswer(isFailure, now);
+    services_.crashes.noteCompleted(fingerprint_, now);
     const auto time = account_.attemptTime(now);
     server_->noteRun(time);
     if (!isStream_) {
--- a/src/state/crashledger.cpp
+++ b/src/state/crashledger.cpp
@@ -11,6 +11,10 @@
 constexpr Duration kRefusalTime = std::chrono::minutes(10);
 //! After the refusal, a fingerprint stays marked for this time after its last crash.
 constexpr Duration kMemory = std::chrono::hours(1);
+//! A request that has completed is not suspected for this time.
+constexpr Duration kInnocence = std::chrono::seconds(30);
+//! Of completed requests; about 1 MB.
+constexpr std::size_t kMaxCompleted = 16'384;
 
 } // namespace
 
@@ -26,6 +30,9 @@
     const auto attribution = attributions_.find(crash);
     if (attribution != attributions_.end() && attribution->second.fingerprint != fingerprint)
         return false;
+    const auto completed = completed_.find(fingerprint);
+    if (completed != completed_.end() && now < completed->second + kInnocence)
+        return false;
     auto &entry = entries_[fingerprint];
     if (entry.cleared.contains(crash) || !entry.crashes.insert(crash).second)
         return false;
@@ -52,8 +59,16 @@
     entry.refusedUntil.reset();
 }
 
+void CrashLedger::noteCompleted(Fingerprint fingerprint, Instant now)
+{
+    clear(fingerprint);
+    if (completed_.size() < kMaxCompleted || completed_.contains(fingerprint))
+        completed_[fingerprint] = now;
+}
+
 void CrashLedger::expire(Instant now)
 {
+    std::erase_if(completed_, [&](const auto &item) { return item.second + kInnocence <= now; });
     std::erase_if(entries_,
                   [&](const auto &item) { return item.second.lastCrash + kMemory <= now; });
     std::erase_if(attributions_, [&](const auto &item) { return item.second.at + kMemory <= now; });
--- a/tests/state/testcrashledger.cpp
+++ b/tests/state/testcrashledger.cpp
@@ -64,6 +64,30 @@
         }
     }
 
+    GIVEN("a request that has completed a moment ago")
+    {
+        ledger.noteCompleted(kSuspect, kStart);
+
+        // Guards against refusing what many callers send because servers crashed for other reasons.
+        WHEN("two servers crash while it runs there")
+        {
+            const auto now = kStart + std::chrono::seconds(1);
+            REQUIRE_FALSE(ledger.add(kSuspect, "a#1", now));
+            REQUIRE_FALSE(ledger.add(kSuspect, "b#1", now));
+            REQUIRE_FALSE(ledger.refusedUntil(kSuspect, now));
+        }
+        // Guards against a request that is trusted for ever because it completed once.
+        WHEN("it has not completed for a while and crashes two servers")
+        {
+            const auto later = kStart + std::chrono::seconds(30);
+            REQUIRE(ledger.add(kSuspect, "a#1", later));
+            REQUIRE(ledger.add(kSuspect, "b#1", later));
+            REQUIRE(ledger.refusedUntil(kSuspect, later));
+            ledger.expire(later);
+            REQUIRE(ledger.refusedUntil(kSuspect, later));
+        }
+    }
+
     // Guards against routers that disagree after they have heard the same reports.
     rc::prop("the order and number of reports do not matter", [] {
         using Report = std::pair<std::uint64_t, std::uint64_t>;
