Gateway: Know a caller by its team, not by its key

Cause: the fingerprint held the API key. It now holds the team's name; callers without a team are one.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -196,8 +196,9 @@
         work_.sensitivity = pauseSensitivity(route_.maxPause, work_.outputTokens);
     const auto target = exchange_->target();
     auto hash = XXH64(target.data(), target.size(), 0);
-    if (request_.key)
-        hash = XXH64(request_.key->data(), request_.key->size(), hash);
+    // A team may change its keys, and use several.
+    const auto &caller = team_.value();
+    hash = XXH64(caller.data(), caller.size(), hash);
     fingerprint_ = Fingerprint(XXH64(exchange_->body().data(), exchange_->body().size(), hash));
 }
 
