ForwardedRequest: Ask before each attempt whether the request crashes servers

Cause: the ledger was asked once, when the request arrived. It is asked before each attempt, and once more when the connection is made; a request that has not run is refused as such, others get 502.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -116,10 +116,6 @@
         deadline_ = std::min(deadline_, exchange_->arrival() + *request_.timeLimit);
     choosePool();
     describeWork();
-    if (services_.crashes.refusedUntil(fingerprint_, monotonicNow())) {
-        refuse(kUnavailable, ResultCode::SuspectedCrashCause, kRetryAfterCrashes);
-        return;
-    }
     const auto self = shared_from_this();
     exchange_->onClosed([this] { guard([this] { onCallerLeft(); }); });
     deadlineTimer_.startOnce(std::max(deadline_ - monotonicNow(), Duration::zero()));
@@ -213,6 +209,12 @@
     return team_.value().empty() || current->findTeam(*request_.key);
 }
 
+// Other routers, or other requests like this one, may have shown it since it arrived.
+bool ForwardedRequest::isCrashCause() const
+{
+    return services_.crashes.refusedUntil(fingerprint_, monotonicNow()).has_value();
+}
+
 void ForwardedRequest::place()
 {
     if (!tryPlace())
@@ -225,6 +227,10 @@
         finishFault(ResultCode::NotConfigured);
         return true;
     }
+    if (isCrashCause()) {
+        finishFault(ResultCode::SuspectedCrashCause);
+        return true;
+    }
     if (!services_.isKnowledgeFresh())
         return false;
     const auto choice = services_.selector.choose(pool_, services_.table()->findPool(pool_), work_,
@@ -339,7 +345,8 @@
 // While a connection was made, its server may have begun to leave.
 bool ForwardedRequest::isStillSound() const
 {
-    return server_->takesRequests(monotonicNow()) && services_.isKnowledgeFresh();
+    return server_->takesRequests(monotonicNow()) && services_.isKnowledgeFresh()
+        && !isCrashCause();
 }
 
 // A silent attempt is given up only when another one may take its place.
@@ -595,7 +602,9 @@
     }
     if (!mayHaveRun_) {
         const auto pause = services_.selector.pause(pool_, monotonicNow());
-        refuse(kUnavailable, code, std::max<Duration>(kRetryAfterUnready, pause));
+        const bool isCrashCause = code == ResultCode::SuspectedCrashCause;
+        refuse(kUnavailable, code,
+               isCrashCause ? kRetryAfterCrashes : std::max<Duration>(kRetryAfterUnready, pause));
         return;
     }
     const int status = code == ResultCode::DeadlinePassed ? kGatewayTimeout : kBadGateway;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -55,6 +55,8 @@
     void describeWork();
     void choosePool();
     bool isStillAllowed() const;
+    //! Whether servers have crashed under requests like this one, so that none may get it.
+    bool isCrashCause() const;
 
     void place();
     bool tryPlace();
