Gateway: Count each crash of a server that came back under a known start

Cause: a crash was named by the server's name and start, and a server that is back before its new entry has been read ends a second time under the same name. An attempt that was sent after a crash has been seen cannot have ended with it, so it counts as another.

--- a/include/crocusport/state/crashledger.h
+++ b/include/crocusport/state/crashledger.h
@@ -14,9 +14,10 @@
 
 /*!
     Returns the id of the crash that ended \a start of \a server. It is the same for every
-    observer, so that reports of one crash by several routers count once. Safe from any thread.
+    observer, so that reports of one crash by several routers count once. \a number is above 1 for a
+    crash that came before the server's next start was known. Safe from any thread.
 */
-std::string crashId(const BackendServerName &server, StartNumber start);
+std::string crashId(const BackendServerName &server, StartNumber start, int number = 1);
 
 //! A request that was under way when a backend server crashed.
 struct CrashSuspicion
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -505,11 +505,17 @@
     const bool isClosed = callEnd.failure == HttpFailure::ClosedBeforeResponse
         || callEnd.failure == HttpFailure::ClosedMidResponse;
     if (fault == AttemptFault::Broken && isClosed)
-        services_.crashSuspected(
-            { fingerprint_, crashId(server_->entry.name, server_->entry.start) });
+        noteCrash(now);
     releaseServer();
 }
 
+void ForwardedRequest::noteCrash(Instant now)
+{
+    const auto number = server_->noteCrash(now - account_.attemptTime(now), now);
+    services_.crashSuspected(
+        { fingerprint_, crashId(server_->entry.name, server_->entry.start, number) });
+}
+
 void ForwardedRequest::releaseServer()
 {
     if (!server_)
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -80,6 +80,8 @@
     void onWholeAnswer();
     void releaseServer();
     void noteFault(AttemptFault fault, const HttpCallEnd &end);
+    //! The server's connection was closed without an answer.
+    void noteCrash(Instant now);
     void onFault(AttemptFault fault, ResultCode code);
     //! Whether the request may be sent once more after \a fault.
     bool isRepeatAllowed(AttemptFault fault) const;
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -145,6 +145,15 @@
     meanRunMs += kRunWeight * (toSeconds(time) * 1000 - meanRunMs);
 }
 
+int KnownServer::noteCrash(Instant sentAt, Instant now)
+{
+    if (crashes_ == 0 || sentAt > crashedAt_) {
+        ++crashes_;
+        crashedAt_ = now;
+    }
+    return crashes_;
+}
+
 bool ServerDirectory::update(const ServerEntry &entry, Instant now)
 {
     if (const auto removed = removed_.find(entry.name); removed != removed_.end()) {
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -112,8 +112,17 @@
     ServerLoad load() const;
     //! A request has run to its end in \a time.
     void noteRun(Duration time);
+    /*!
+        The connection of an attempt that was sent at \a sentAt was closed without an answer.
+        Returns the number of the crash: what was sent after one crash cannot have ended with it.
+    */
+    int noteCrash(Instant sentAt, Instant now);
 
     static constexpr double kUsualRunMs = 500; //!< Until some have ended.
+
+private:
+    int crashes_ = 0;
+    Instant crashedAt_ {};
 };
 
 /*!
--- a/src/state/crashledger.cpp
+++ b/src/state/crashledger.cpp
@@ -18,9 +18,10 @@
 
 } // namespace
 
-std::string crashId(const BackendServerName &server, StartNumber start)
+std::string crashId(const BackendServerName &server, StartNumber start, int number)
 {
-    return server.value() + "#" + std::to_string(start.value());
+    const auto id = server.value() + "#" + std::to_string(start.value());
+    return number > 1 ? id + "." + std::to_string(number) : id;
 }
 
 bool CrashLedger::add(Fingerprint fingerprint, const std::string &crash, Instant now)
