CrashLedger: Suspect less what servers were already answering

Cause: each crash counted alike, whether the request had only begun, as one that crashes servers does, or was half answered. Two crashes count as proof only where nothing of the answer had come, three in any case, which is the platform's bound. Reports carry the evidence.

--- a/include/crocusport/state/crashledger.h
+++ b/include/crocusport/state/crashledger.h
@@ -5,6 +5,8 @@
 #include "crocusport/state/instant.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -19,11 +21,18 @@
 */
 std::string crashId(const BackendServerName &server, StartNumber start, int number = 1);
 
+//! How far a request had run when its backend server crashed; the last one accuses it most.
+enum class CrashEvidence : std::uint8_t {
+    DuringAnswer, //!< Part of its answer had come.
+    BeforeAnswer, //!< Nothing had come.
+};
+
 //! A request that was under way when a backend server crashed.
 struct CrashSuspicion
 {
     Fingerprint fingerprint;
     std::string crash; //!< See crashId().
+    CrashEvidence evidence = CrashEvidence::BeforeAnswer;
 };
 
 /*!
@@ -40,7 +49,8 @@
         Merges the report that \a fingerprint ran during \a crash; returns whether it was new.
         Fingerprint 0 means none.
     */
-    bool add(Fingerprint fingerprint, const std::string &crash, Instant now);
+    bool add(Fingerprint fingerprint, const std::string &crash, Instant now,
+             CrashEvidence evidence = CrashEvidence::BeforeAnswer);
     //! Counts \a crash for the marked \a fingerprint and, from now on, for no other.
     void attribute(Fingerprint fingerprint, const std::string &crash, Instant now);
     //! Forgives \a fingerprint its crashes so far, because a request with it completed.
@@ -66,12 +76,13 @@
 private:
     struct Entry
     {
-        std::set<std::string> crashes;
+        std::map<std::string, CrashEvidence> crashes;
         std::set<std::string> cleared;
         Instant lastCrash {};
         std::optional<Instant> refusedUntil;
 
         bool marked() const { return !crashes.empty(); }
+        bool isProven() const;
     };
     struct Attribution
     {
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -512,8 +512,10 @@
 void ForwardedRequest::noteCrash(Instant now)
 {
     const auto number = server_->noteCrash(now - account_.attemptTime(now), now);
+    const bool hasAnswered = isStream_ ? account_.attemptEvents() > 0 : answer_.has_value();
     services_.crashSuspected(
-        { fingerprint_, crashId(server_->entry.name, server_->entry.start, number) });
+        { fingerprint_, crashId(server_->entry.name, server_->entry.start, number),
+          hasAnswered ? CrashEvidence::DuringAnswer : CrashEvidence::BeforeAnswer });
 }
 
 void ForwardedRequest::releaseServer()
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -352,7 +352,7 @@
 
 void Gateway::takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source)
 {
-    if (!crashes_.add(suspicion.fingerprint, suspicion.crash, monotonicNow()))
+    if (!crashes_.add(suspicion.fingerprint, suspicion.crash, monotonicNow(), suspicion.evidence))
         return;
     log_.write(LogLine("crash_suspected")
                    .add("fingerprint", suspicion.fingerprint.value())
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t kMaxZoneSize = 10'000;
 constexpr std::size_t kLoadFields = 5;
 constexpr std::size_t kPairFields = 2;
+constexpr std::size_t kSuspicionFields = 3;
 
 std::uint64_t number(const Json &json)
 {
@@ -73,7 +74,8 @@
         chains.push_back({ server, chain });
     auto suspicions = Json::array();
     for (const auto &suspicion : report.suspicions)
-        suspicions.push_back({ suspicion.fingerprint.value(), suspicion.crash });
+        suspicions.push_back({ suspicion.fingerprint.value(), suspicion.crash,
+                               suspicion.evidence == CrashEvidence::BeforeAnswer });
     auto leaving = Json::array();
     for (const auto &[server, start] : report.leaving)
         leaving.push_back({ server, start.value() });
@@ -141,8 +143,10 @@
                                        static_cast<ChainHash>(number(row[1])));
     }
     for (const auto &row : json[7]) {
-        if (isArrayOf(row, kPairFields))
-            report.suspicions.push_back({ Fingerprint(number(row[0])), text(row[1]) });
+        if (isArrayOf(row, kSuspicionFields) && row[2].is_boolean())
+            report.suspicions.push_back(
+                { Fingerprint(number(row[0])), text(row[1]),
+                  row[2].get<bool>() ? CrashEvidence::BeforeAnswer : CrashEvidence::DuringAnswer });
     }
     return report;
 }
--- a/src/gateway/requestaccount.h
+++ b/src/gateway/requestaccount.h
@@ -48,6 +48,7 @@
     //! Longest time between two events so far.
     Duration longestPause() const { return longestPause_; }
     std::uint64_t events() const { return events_; }
+    std::uint64_t attemptEvents() const { return attemptEvents_; }
     Lateness lateness(const Route &route, bool isCompleted, Instant now) const;
 
     //! Fills in the times of \a measurement.
--- a/src/state/crashledger.cpp
+++ b/src/state/crashledger.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
+//! Crashes before anything of the answer had come.
 constexpr std::size_t kCrashesToRefuse = 2;
+//! Crashes of any kind. Long streams are under way in many a crash that they did not cause.
+constexpr std::size_t kCrashesInAllToRefuse = 3;
 constexpr Duration kRefusalTime = std::chrono::minutes(10);
 //! After the refusal, a fingerprint stays marked for this time after its last crash.
 constexpr Duration kMemory = std::chrono::hours(1);
@@ -24,7 +27,17 @@
     return number > 1 ? id + "." + std::to_string(number) : id;
 }
 
-bool CrashLedger::add(Fingerprint fingerprint, const std::string &crash, Instant now)
+bool CrashLedger::Entry::isProven() const
+{
+    const auto early = std::count_if(crashes.begin(), crashes.end(), [](const auto &crash) {
+        return crash.second == CrashEvidence::BeforeAnswer;
+    });
+    return static_cast<std::size_t>(early) >= kCrashesToRefuse
+        || crashes.size() >= kCrashesInAllToRefuse;
+}
+
+bool CrashLedger::add(Fingerprint fingerprint, const std::string &crash, Instant now,
+                      CrashEvidence evidence)
 {
     if (fingerprint.value() == 0)
         return false;
@@ -35,10 +48,14 @@
     if (completed != completed_.end() && now < completed->second + kInnocence)
         return false;
     auto &entry = entries_[fingerprint];
-    if (entry.cleared.contains(crash) || !entry.crashes.insert(crash).second)
+    if (entry.cleared.contains(crash))
+        return false;
+    const auto [known, isNew] = entry.crashes.try_emplace(crash, evidence);
+    if (!isNew && known->second >= evidence)
         return false;
+    known->second = evidence;
     entry.lastCrash = now;
-    if (entry.crashes.size() >= kCrashesToRefuse)
+    if (entry.isProven())
         entry.refusedUntil = now + kRefusalTime;
     return true;
 }
@@ -55,7 +72,8 @@
     if (found == entries_.end())
         return;
     auto &entry = found->second;
-    entry.cleared.merge(entry.crashes);
+    for (const auto &[crash, evidence] : entry.crashes)
+        entry.cleared.insert(crash);
     entry.crashes.clear();
     entry.refusedUntil.reset();
 }
--- a/tests/gateway/testloadexchange.cpp
+++ b/tests/gateway/testloadexchange.cpp
@@ -59,7 +59,7 @@
     report.broken = { 43 };
     report.leaving = { { 44, StartNumber(2000) } };
     report.chains = { { 42, 1234 } };
-    report.suspicions = { { Fingerprint(77), "engine-1/5" } };
+    report.suspicions = { { Fingerprint(77), "engine-1/5", CrashEvidence::DuringAnswer } };
     const auto bytes = encodeLoadReport(report);
 
     // Guards against a field that one side writes and the other drops, such as a suspicion of a
@@ -84,6 +84,7 @@
         REQUIRE(decoded.chains == report.chains);
         REQUIRE(decoded.suspicions.at(0).fingerprint == Fingerprint(77));
         REQUIRE(decoded.suspicions.at(0).crash == "engine-1/5");
+        REQUIRE(decoded.suspicions.at(0).evidence == CrashEvidence::DuringAnswer);
         REQUIRE(decoded.loads.at(0).first == 42);
         REQUIRE(decoded.loads.at(0).second.requests == 3);
         REQUIRE(decoded.loads.at(0).second.sensitivity == Approx(0.25));
--- a/tests/platform/testcrashingrequests.cpp
+++ b/tests/platform/testcrashingrequests.cpp
@@ -204,3 +204,35 @@
     deployment.second.handler = nullptr;
     REQUIRE(statusOf(deployment, kWithoutBody) == "200");
 }
+
+// Guards against a caller that comes back after two crashes which it did not cause, and is refused.
+SCENARIO("A stream loses two servers midway and comes again")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    REQUIRE(deployment.serve());
+    deployment.enter(deployment.second);
+    deployment.settle();
+    std::vector<std::shared_ptr<HttpExchange>> running;
+    for (auto *const server : { &deployment.first, &deployment.second })
+        server->handler = [&, server](const auto &exchange) {
+            running.push_back(exchange);
+            exchange->startStream(200, server->sealedHeaders(*exchange));
+            exchange->sendChunk("id: " + std::to_string(running.size()) + "\ndata: piece\n\n");
+        };
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    client.send(Deployment::request("stream"));
+    for (std::size_t crash = 1; crash <= 2; ++crash) {
+        const auto event = "id: " + std::to_string(crash);
+        REQUIRE(
+            runner.runUntil([&] { return client.received().find(event) != std::string::npos; }));
+        running.back()->abort();
+    }
+    REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
+    REQUIRE(running.size() == 2);
+    for (auto *const server : { &deployment.first, &deployment.second })
+        server->handler = [server](const auto &exchange) {
+            exchange->reply(200, server->sealedHeaders(*exchange), "id: 1\ndata: all\n\n");
+        };
+    REQUIRE(statusOf(deployment, Deployment::request("stream")) == "200");
+}
--- a/tests/state/testcrashledger.cpp
+++ b/tests/state/testcrashledger.cpp
@@ -64,6 +64,32 @@
         }
     }
 
+    GIVEN("a request that two servers were answering when they crashed")
+    {
+        ledger.add(kSuspect, "a#1", kStart, CrashEvidence::DuringAnswer);
+        ledger.add(kSuspect, "b#1", kStart, CrashEvidence::DuringAnswer);
+
+        // Guards against long streams that are refused because two servers crashed beside them.
+        THEN("it is not refused")
+        {
+            REQUIRE_FALSE(ledger.refusedUntil(kSuspect, kStart));
+        }
+        THEN("it is refused after the third")
+        {
+            ledger.add(kSuspect, "c#1", kStart, CrashEvidence::DuringAnswer);
+            REQUIRE(ledger.refusedUntil(kSuspect, kStart));
+        }
+        // Guards against routers that disagree about a crash that both have seen.
+        THEN("what a router that had got nothing says of the same crashes counts more")
+        {
+            REQUIRE(ledger.add(kSuspect, "a#1", kStart, CrashEvidence::BeforeAnswer));
+            REQUIRE_FALSE(ledger.add(kSuspect, "a#1", kStart, CrashEvidence::DuringAnswer));
+            REQUIRE_FALSE(ledger.refusedUntil(kSuspect, kStart));
+            ledger.add(kSuspect, "b#1", kStart, CrashEvidence::BeforeAnswer);
+            REQUIRE(ledger.refusedUntil(kSuspect, kStart));
+        }
+    }
+
     GIVEN("a request that has completed a moment ago")
     {
         ledger.noteCompleted(kSuspect, kStart);
