Gateway: Count crashes that show only by silence

Cause: only a connection that is closed counted as a crash. An attempt that is given up (silence, time limit, caller left) while its server owes the answer is remembered for ten seconds; when the server's entry then lapses or names another start, without its having said that it leaves, the attempt counts like one whose connection was closed.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -301,6 +301,7 @@
             services_.chainSent(hash, work_.chains[i]);
     }
     lastFailure_ = HttpFailure::None;
+    isSound_ = false;
     answer_.reset();
     body_.clear();
     splitter_.clear();
@@ -311,7 +312,7 @@
         guard([&] { onHead(status, headers); });
     };
     handlers.onBody = [this](std::string_view data) { guard([&] { onBody(data); }); };
-    handlers.onReady = [this] { return isStillSound(); };
+    handlers.onReady = [this] { return isSound_ = isStillSound(); };
     handlers.onSilence = [this] { return isWorthWaiting(); };
     handlers.onEnd = [this](const HttpCallEnd &callEnd) { guard([&] { onEnd(callEnd); }); };
     call_ = services_.backends.start(makeCall(*server_), std::move(handlers));
@@ -506,16 +507,39 @@
         || callEnd.failure == HttpFailure::ClosedMidResponse;
     if (fault == AttemptFault::Broken && isClosed)
         noteCrash(now);
+    else if (fault == AttemptFault::Broken)
+        noteUnanswered(now);
     releaseServer();
 }
 
 void ForwardedRequest::noteCrash(Instant now)
 {
     const auto number = server_->noteCrash(now - account_.attemptTime(now), now);
+    services_.crashSuspected({ fingerprint_,
+                               crashId(server_->entry.name, server_->entry.start, number),
+                               crashEvidence() });
+}
+
+// A pooled connection is not asked whether to send.
+bool ForwardedRequest::isSent() const
+{
+    return isSound_ || !call_->isOnNewConnection();
+}
+
+void ForwardedRequest::noteUnanswered(Instant now)
+{
+    const auto &entry = server_->entry;
+    if (server_->hasCrashed())
+        services_.crashSuspected(
+            { fingerprint_, crashId(entry.name, entry.start), crashEvidence() });
+    else
+        services_.unanswered.add(entry.name, entry.start, fingerprint_, crashEvidence(), now);
+}
+
+CrashEvidence ForwardedRequest::crashEvidence() const
+{
     const bool hasAnswered = isStream_ ? account_.attemptEvents() > 0 : answer_.has_value();
-    services_.crashSuspected(
-        { fingerprint_, crashId(server_->entry.name, server_->entry.start, number),
-          hasAnswered ? CrashEvidence::DuringAnswer : CrashEvidence::BeforeAnswer });
+    return hasAnswered ? CrashEvidence::DuringAnswer : CrashEvidence::BeforeAnswer;
 }
 
 void ForwardedRequest::releaseServer()
@@ -650,8 +674,10 @@
     waitTimer_.stop();
     if (ticket_)
         services_.waiting.remove(pool_, *std::exchange(ticket_, std::nullopt));
-    releaseServer();
     const auto now = monotonicNow();
+    if (server_ && call_ && !call_->isEnded() && isSent())
+        noteUnanswered(now);
+    releaseServer();
     RequestMeasurement measurement;
     measurement.requestClass = ClassName(route_.name);
     measurement.team = team_;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -82,6 +82,11 @@
     void noteFault(AttemptFault fault, const HttpCallEnd &end);
     //! The server's connection was closed without an answer.
     void noteCrash(Instant now);
+    //! The attempt is given up; its server may have ended.
+    void noteUnanswered(Instant now);
+    CrashEvidence crashEvidence() const;
+    //! Whether bytes of the attempt in progress may have left.
+    bool isSent() const;
     void onFault(AttemptFault fault, ResultCode code);
     //! Whether the request may be sent once more after \a fault.
     bool isRepeatAllowed(AttemptFault fault) const;
@@ -127,6 +132,7 @@
     HttpFailure lastFailure_ = HttpFailure::None; //!< Of the last attempt.
     int sentAttempts_ = 0;                        //!< That may have reached a server.
     int unsentAttempts_ = 0;
+    bool isSound_ = false;    //!< The new connection of the attempt was taken into use.
     bool isStream_ = false;   //!< The answer in progress is a stream of events.
     bool mayHaveRun_ = false; //!< An attempt may have run, or runs.
     bool isEnded_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -90,6 +90,7 @@
           waiting_,
           silence_,
           crashes_,
+          unanswered_,
           answerMemory_,
           metrics_,
           log_,
@@ -302,6 +303,8 @@
     const auto before = known ? std::optional(known->entry) : std::nullopt;
     if (!directory_.update(entry, monotonicNow()))
         return false;
+    if (known)
+        onServerChanged(*known);
     const auto after = directory_.find(entry.name);
     if (before && before->start != entry.start)
         prefixes_.forget(after->hash);
@@ -326,10 +329,20 @@
     backends_.closeIdle(server->entry.address);
     prefixes_.forget(server->hash);
     directory_.remove(name, monotonicNow());
+    onServerChanged(*server);
     log_.write(LogLine("server_removed").add("server", name.value()).text());
     return true;
 }
 
+void Gateway::onServerChanged(const KnownServer &server)
+{
+    if (!server.hasCrashed())
+        return;
+    const auto &entry = server.entry;
+    for (const auto &suspicion : unanswered_.take(entry.name, entry.start, monotonicNow()))
+        noteCrashSuspicion(suspicion);
+}
+
 void Gateway::onServerLeaving(KnownServer &server, std::string_view source)
 {
     if (std::exchange(server.isLeaving, true))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,6 +56,8 @@
     bool onServer(const BackendServerName &name, const StoreChange &change);
     bool updateServer(const ServerEntry &entry);
     bool removeServer(const BackendServerName &name);
+    //! \a server is no longer what it was; it may have crashed under requests that were given up.
+    void onServerChanged(const KnownServer &server);
     //! The server has said so in an answer, to this router or to another.
     void onServerLeaving(KnownServer &server, std::string_view source);
     Result<void> startExchange();
@@ -89,6 +91,7 @@
     WaitingList waiting_;
     SilenceLimits silence_;
     CrashLedger crashes_;
+    UnansweredRuns unanswered_;
     AnswerMemory answerMemory_;
     RequestMetrics metrics_;
     std::shared_ptr<const RoutingTable> table_;
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -8,6 +8,7 @@
 #include "serverdirectory.h"
 #include "serverselector.h"
 #include "silencelimits.h"
+#include "unansweredruns.h"
 #include "waitinglist.h"
 
 #include "logline.h"
@@ -41,6 +42,7 @@
     WaitingList &waiting;
     SilenceLimits &silence;
     CrashLedger &crashes;
+    UnansweredRuns &unanswered;
     AnswerMemory &answerMemory;
     RequestMetrics &metrics;
     LogWriter &log;
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -109,6 +109,11 @@
     }
     //! Whether the server takes requests of this router now.
     bool takesRequests(Instant now) const { return isUsable() && health.pausedUntil() <= now; }
+    //! Whether it has ended, as far as the router knows, without having said that it leaves.
+    bool hasCrashed() const
+    {
+        return (isGone || isSuperseded) && !isLeaving && entry.state == BackendServerState::Live;
+    }
     ServerLoad load() const;
     //! A request has run to its end in \a time.
     void noteRun(Duration time);
--- /dev/null
+++ b/src/gateway/unansweredruns.cpp
@@ -0,0 +1,46 @@
+#include "unansweredruns.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+
+namespace crocusport {
+
+namespace {
+
+// The entry of a server that has ended lapses within about four seconds, and is read soon after.
+constexpr Duration kMemory = std::chrono::seconds(10);
+constexpr std::size_t kMaxRuns = 4096;
+
+} // namespace
+
+void UnansweredRuns::add(const BackendServerName &server, StartNumber start,
+                         Fingerprint fingerprint, CrashEvidence evidence, Instant now)
+{
+    expire(now);
+    if (runs_.size() == kMaxRuns)
+        runs_.pop_front();
+    runs_.push_back({ server, start, { fingerprint, crashId(server, start), evidence }, now });
+}
+
+std::vector<CrashSuspicion> UnansweredRuns::take(const BackendServerName &server, StartNumber start,
+                                                 Instant now)
+{
+    expire(now);
+    const auto isThere = [&](const Run &run) { return run.server == server && run.start == start; };
+    std::vector<CrashSuspicion> taken;
+    for (const auto &run : runs_) {
+        if (isThere(run))
+            taken.push_back(run.suspicion);
+    }
+    std::erase_if(runs_, isThere);
+    return taken;
+}
+
+void UnansweredRuns::expire(Instant now)
+{
+    while (!runs_.empty() && runs_.front().at + kMemory <= now)
+        runs_.pop_front();
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/tests/gateway/testunansweredruns.cpp
@@ -0,0 +1,31 @@
+#include "unansweredruns.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+
+SCENARIO("Attempts that were given up before their server was known to have ended")
+{
+    const Instant start(std::chrono::hours(1));
+    const BackendServerName server("engine-1");
+    const Fingerprint fingerprint(7);
+    UnansweredRuns runs;
+    runs.add(server, StartNumber(5), fingerprint, CrashEvidence::BeforeAnswer, start);
+
+    WHEN("the server turns out to have ended")
+    {
+        const auto taken = runs.take(server, StartNumber(5), start + std::chrono::seconds(5));
+        REQUIRE(taken.size() == 1);
+        REQUIRE(taken[0].fingerprint == fingerprint);
+        REQUIRE(taken[0].crash == crashId(server, StartNumber(5)));
+        // Guards against one crash that counts twice.
+        REQUIRE(runs.take(server, StartNumber(5), start).empty());
+    }
+    // Guards against requests that are blamed for what happened to others, or long after them.
+    WHEN("another server or another start has ended, or it ends much later")
+    {
+        REQUIRE(runs.take(BackendServerName("engine-2"), StartNumber(5), start).empty());
+        REQUIRE(runs.take(server, StartNumber(6), start).empty());
+        REQUIRE(runs.take(server, StartNumber(5), start + std::chrono::seconds(10)).empty());
+    }
+}
