Gateway: Keep in the store which requests crash servers

Cause: what is refused was held in memory alone and told for half a second by datagrams, which may be lost and stay in the neighbourhood. The first router of a neighbourhood now writes a record when a request is refused; it reaches all others with the rest of what the store holds, before they serve. Other routers write it when it does not appear, and it is removed when the request has completed or its time is over.

The price is one call for each refused request.

--- a/include/crocusport/state/crashledger.h
+++ b/include/crocusport/state/crashledger.h
@@ -66,6 +66,8 @@
 
     //! Returns the number of crashes that count for \a fingerprint.
     std::size_t crashCount(Fingerprint fingerprint) const;
+    //! Returns the ids of these crashes, divided by \a separator.
+    std::string crashList(Fingerprint fingerprint, char separator) const;
     //! Returns the number of fingerprints that are refused at \a now. Linear.
     std::size_t refusedCount(Instant now) const;
     //! Returns whether requests with \a fingerprint must run in isolation.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -143,6 +143,8 @@
                                                  answerMetrics(*exchange);
                                              }));
     }
+    crashRecords_ =
+        std::make_unique<CrashRecords>(storeClient_, formats_, settings_.store, crashes_);
     BOOST_LEAF_CHECK(startExchange());
     StoreFeed::Options options { settings_.store, planLimits() };
     feed_ = std::make_unique<StoreFeed>(
@@ -231,6 +233,10 @@
         return change.value && onConfiguration(*change.value);
     if (const auto server = formats_.serverNameOfKey(change.key))
         return onServer(*server, change);
+    if (CrashRecords::isRecordKey(change.key)) {
+        crashRecords_->take(change, monotonicNow());
+        return true;
+    }
     if (!Registration::isRouterKey(change.key))
         return false;
     if (!change.value) {
@@ -373,6 +379,8 @@
                    .add("crashes", crashes_.crashCount(suspicion.fingerprint))
                    .add("source", source.value())
                    .text());
+    if (crashes_.refusedUntil(suspicion.fingerprint, monotonicNow()))
+        crashRecords_->noteRefused(suspicion.fingerprint, monotonicNow());
 }
 
 Duration Gateway::configurationAge() const
@@ -418,8 +426,9 @@
                       feed_->mirror().contact() ? toSeconds(configurationAge()) : -1);
     metrics_.setGauge("crocusport_log_lines_dropped", "Log lines dropped since the start.",
                       static_cast<double>(log_.droppedLines()));
-    metrics_.setGauge("crocusport_store_calls", "Calls to the store since the start.",
-                      static_cast<double>(feed_->storeCalls() + registration_->calls()));
+    metrics_.setGauge(
+        "crocusport_store_calls", "Calls to the store since the start.",
+        static_cast<double>(feed_->storeCalls() + registration_->calls() + crashRecords_->calls()));
     metrics_.setGauge("crocusport_router_questions",
                       "Questions to other routers for what the store holds.",
                       static_cast<double>(feed_->routerCalls()));
@@ -449,6 +458,8 @@
         callers_->resumeAccepting();
     exchange_->tick(now);
     updateRegistration();
+    if (feed_->mirror().isComplete())
+        crashRecords_->update(exchange_->routers().rank(uptime()), now);
     if (!waiting_.empty() && !waitingTimer_.isActive())
         waitingTimer_.startOnce(Duration::zero());
     if (now >= nextHousekeeping_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_GATEWAY_H
 #define CROCUSPORT_GATEWAY_H
 
+#include "crashrecords.h"
 #include "gatewayservices.h"
 #include "registration.h"
 #include "routerexchange.h"
@@ -102,6 +103,7 @@
     std::unique_ptr<HttpServer> metricsServer_;
     std::unique_ptr<RouterExchange> exchange_;
     std::unique_ptr<StoreFeed> feed_;
+    std::unique_ptr<CrashRecords> crashRecords_;
     std::unique_ptr<Registration> registration_;
     Timer tickTimer_;
     Timer waitingTimer_;
--- a/src/state/crashledger.cpp
+++ b/src/state/crashledger.cpp
@@ -99,6 +99,17 @@
     return found == entries_.end() ? 0 : found->second.crashes.size();
 }
 
+std::string CrashLedger::crashList(Fingerprint fingerprint, char separator) const
+{
+    std::string list;
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end())
+        return list;
+    for (const auto &[crash, evidence] : found->second.crashes)
+        list.append(list.empty() ? 0 : 1, separator).append(crash);
+    return list;
+}
+
 std::size_t CrashLedger::refusedCount(Instant now) const
 {
     return static_cast<std::size_t>(
