RouterExchange: Tell other zones which requests crash servers

Sums of a zone now carry the suspicions that its routers have told, for one and a half seconds, and reports hold 256 of them at most.

Red before (never heard), green now: testzonereports.cpp, which also shows that zones do not repeat each other.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -189,7 +189,7 @@
             onServerLeaving(server, from.value());
         },
         [this](const CrashSuspicion &suspicion, const RouterName &from) {
-            takeCrashSuspicion(suspicion, from);
+            return takeCrashSuspicion(suspicion, from);
         },
     };
     BOOST_LEAF_ASSIGN(exchange_, RouterExchange::create(loop_, std::move(parts)));
@@ -369,10 +369,10 @@
     exchange_->noteCrashSuspicion(suspicion);
 }
 
-void Gateway::takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source)
+bool Gateway::takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source)
 {
     if (!crashes_.add(suspicion.fingerprint, suspicion.crash, monotonicNow(), suspicion.evidence))
-        return;
+        return false;
     log_.write(LogLine("crash_suspected")
                    .add("fingerprint", suspicion.fingerprint.value())
                    .add("crash", suspicion.crash)
@@ -381,6 +381,7 @@
                    .text());
     if (crashes_.refusedUntil(suspicion.fingerprint, monotonicNow()))
         crashRecords_->noteRefused(suspicion.fingerprint, monotonicNow());
+    return true;
 }
 
 Duration Gateway::configurationAge() const
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,7 +69,8 @@
     std::optional<StoreChanges> storeChanges(StoreRevision after) const;
     //! A request of this router was under way when a server crashed.
     void noteCrashSuspicion(const CrashSuspicion &suspicion);
-    void takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source);
+    //! Returns whether it was new.
+    bool takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source);
     Duration configurationAge() const;
     RetryWindow &retryWindow(const PoolName &pool);
     void answerReady(HttpExchange &exchange) const;
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -27,6 +27,10 @@
 constexpr Duration kMaxAskingInterval = std::chrono::milliseconds(2000);
 // Suspicions are repeated for this long, since datagrams may be lost.
 constexpr Duration kSuspicionRepeatTime = std::chrono::milliseconds(500);
+// Several sums, each to other routers of a zone.
+constexpr Duration kZoneSuspicionRepeatTime = std::chrono::milliseconds(1500);
+// The newest; a server that crashes may take hundreds of requests with it.
+constexpr std::size_t kMaxReportedSuspicions = 256;
 constexpr std::size_t kMaxReportedChains = 64;
 constexpr std::size_t kMaxReportedPaces = 32;
 constexpr double kPaceUnitsPerMs = 10;
@@ -46,6 +50,19 @@
 
 } // namespace
 
+std::vector<CrashSuspicion> RouterExchange::current(Suspicions &suspicions, Duration memory,
+                                                    Instant now)
+{
+    while (
+        !suspicions.empty()
+        && (suspicions.front().first + memory < now || suspicions.size() > kMaxReportedSuspicions))
+        suspicions.pop_front();
+    std::vector<CrashSuspicion> told;
+    for (const auto &[at, suspicion] : suspicions)
+        told.push_back(suspicion);
+    return told;
+}
+
 Result<std::unique_ptr<RouterExchange>> RouterExchange::create(EventLoop &loop, Parts parts)
 {
     std::unique_ptr<RouterExchange> exchange(new RouterExchange(loop, std::move(parts)));
@@ -157,8 +174,11 @@
         if (server && server->entry.start == start)
             parts_.serverLeaves(*server, report.router.name);
     }
-    for (const auto &suspicion : report.suspicions)
-        parts_.crashSuspected(suspicion, report.router.name);
+    for (const auto &suspicion : report.suspicions) {
+        const bool isNew = parts_.crashSuspected(suspicion, report.router.name);
+        if (isNew && report.scope == ReportScope::Router)
+            zoneSuspicions_.emplace_back(now, suspicion);
+    }
 }
 
 // The greeting tells a router that starts at once whom it can ask for what the store holds.
@@ -218,6 +238,7 @@
 void RouterExchange::noteCrashSuspicion(const CrashSuspicion &suspicion)
 {
     suspicions_.emplace_back(monotonicNow(), suspicion);
+    zoneSuspicions_.emplace_back(monotonicNow(), suspicion);
     scheduleReport();
 }
 
@@ -277,10 +298,7 @@
     });
     report.chains = std::exchange(newChains_, {});
     report.paces = std::exchange(newPaces_, {});
-    while (!suspicions_.empty() && suspicions_.front().first + kSuspicionRepeatTime < now)
-        suspicions_.pop_front();
-    for (const auto &[at, suspicion] : suspicions_)
-        report.suspicions.push_back(suspicion);
+    report.suspicions = current(suspicions_, kSuspicionRepeatTime, now);
     sendTo(routers_.near(), report);
 }
 
@@ -296,6 +314,7 @@
             sums[server->hash] += server->own;
     });
     report.loads.assign(sums.begin(), sums.end());
+    report.suspicions = current(zoneSuspicions_, kZoneSuspicionRepeatTime, now);
     if (now - zoneChainsSentAt_ >= kZoneChainInterval) {
         zoneChainsSentAt_ = now;
         report.chains.assign(zoneChains_.begin(), zoneChains_.end());
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -44,8 +44,9 @@
         std::function<void()> routersHeard;
         //! A router has heard from the server that it leaves.
         std::function<void(KnownServer &server, const RouterName &from)> serverLeaves;
-        //! A request of another router was under way when a server crashed.
-        std::function<void(const CrashSuspicion &, const RouterName &from)> crashSuspected;
+        //! A request of another router was under way when a server crashed; returns whether that
+        //! was new.
+        std::function<bool(const CrashSuspicion &, const RouterName &from)> crashSuspected;
     };
 
     //! Opens the ports for datagrams and questions. Fails with ListenFailed.
@@ -74,6 +75,8 @@
     void tick(Instant now);
 
 private:
+    using Suspicions = std::deque<std::pair<Instant, CrashSuspicion>>;
+
     RouterExchange(EventLoop &loop, Parts parts);
 
     Result<void> listen(EventLoop &loop);
@@ -88,6 +91,9 @@
     void sendTo(const std::vector<RouterEntry> &routers, const LoadReport &report);
     void askForNeighbours(Instant now);
     LoadReport makeReport();
+    //! Forgets what is older than \a memory, and returns the rest.
+    static std::vector<CrashSuspicion> current(Suspicions &suspicions, Duration memory,
+                                               Instant now);
     Duration reportInterval() const;
     void sendReport(bool isLeaving);
     void sendZoneSum(Instant now);
@@ -110,7 +116,8 @@
     std::vector<std::pair<ServerHash, ChainHash>> newChains_;
     std::vector<std::pair<ServerHash, std::uint32_t>> newPaces_;
     std::set<std::pair<ServerHash, ChainHash>> zoneChains_; //!< Of all routers of the zone.
-    std::deque<std::pair<Instant, CrashSuspicion>> suspicions_;
+    Suspicions suspicions_;                                 //!< Of this router.
+    Suspicions zoneSuspicions_; //!< Of all routers of the zone; one of them tells other zones.
 };
 
 } // namespace crocusport
--- /dev/null
+++ b/tests/platform/testzonereports.cpp
@@ -0,0 +1,96 @@
+#include "routerexchange.h"
+#include "uptime.h"
+
+#include "../transport/looprunner.h"
+
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace crocusport;
+
+namespace {
+
+//! One router's exchange, without anything else of a router.
+class Peer
+{
+public:
+    Peer(LoopRunner &runner, const std::string &name, const std::string &zone)
+        : log_(runner.loop(), open("/dev/null", O_WRONLY | O_CLOEXEC))
+    {
+        settings_.router = RouterName(name);
+        settings_.zone = AvailabilityZone(zone);
+        settings_.ip = "127.0.0.1";
+        settings_.reportInterval = Milliseconds(20);
+        exchange = handleErrors(
+            [&] {
+                return RouterExchange::create(
+                    runner.loop(),
+                    { settings_, servers_, prefixes_, log_, random_, [] { return std::nullopt; },
+                      [](StoreRevision) { return std::nullopt; }, [] {},
+                      [](KnownServer &, const RouterName &) {},
+                      [this](const CrashSuspicion &suspicion, const RouterName &) {
+                          heard.push_back(suspicion);
+                          return true;
+                      } });
+            },
+            [](const Error &error) -> std::unique_ptr<RouterExchange> {
+                throw std::runtime_error(error.message);
+            });
+    }
+
+    std::unique_ptr<RouterExchange> exchange;
+    std::vector<CrashSuspicion> heard;
+
+private:
+    GatewaySettings settings_;
+    ServerDirectory servers_;
+    PrefixMemory prefixes_;
+    LogWriter log_;
+    std::mt19937_64 random_;
+};
+
+} // namespace
+
+// Guards against a request that ends as many servers as there are zones, since each zone of a large
+// fleet learns alone.
+SCENARIO("Two zones of a large fleet hear of crashes in each other")
+{
+    LoopRunner runner;
+    Peer near(runner, "a-1", "zone-a");
+    Peer neighbour(runner, "a-2", "zone-a");
+    Peer far(runner, "b-1", "zone-b");
+    Peer behind(runner, "b-2", "zone-b");
+    Peer *const peers[] = { &near, &neighbour, &far, &behind };
+    constexpr int kSilentRouters = 20;
+    for (auto *const peer : peers) {
+        auto &routers = peer->exchange->routers();
+        for (auto *const other : peers)
+            routers.hear(other->exchange->self(), std::nullopt, uptime());
+        for (int i = 0; i < kSilentRouters; ++i)
+            routers.learn({ RouterName("z-" + std::to_string(i)), SocketAddress("127.0.0.1:9"),
+                            AvailabilityZone("zone-z") },
+                          uptime());
+        REQUIRE_FALSE(routers.isDirect());
+    }
+    Timer ticks(runner.loop(), [&] {
+        for (auto *const peer : peers)
+            peer->exchange->tick(monotonicNow());
+    });
+    ticks.startPeriodic(Milliseconds(20));
+
+    neighbour.exchange->noteCrashSuspicion({ Fingerprint(7), "engine-1#5" });
+    REQUIRE(runner.runUntil([&] { return !far.heard.empty() && !behind.heard.empty(); }));
+    REQUIRE(far.heard[0].fingerprint == Fingerprint(7));
+    REQUIRE(behind.heard[0].crash == "engine-1#5");
+    // Guards against zones that tell each other the same thing for ever.
+    runner.runFor(std::chrono::seconds(2));
+    const auto count = near.heard.size() + far.heard.size() + behind.heard.size();
+    runner.runFor(std::chrono::seconds(1));
+    REQUIRE(near.heard.size() + far.heard.size() + behind.heard.size() == count);
+}
