--- a/include/crocusport/protocol/chatrequest.h
+++ b/include/crocusport/protocol/chatrequest.h
@@ -41,9 +41,9 @@
 */
 std::string withPriority(std::string_view body, int priority);
 
-//! Returns the XXH3 hash of all three, unambiguous in where one ends. Safe from any thread.
+//! Returns the XXH3 hash of all four, unambiguous in where one ends. Safe from any thread.
 Fingerprint fingerprintOf(const TeamName &team, const ClassName &requestClass,
-                          std::string_view body);
+                          std::string_view target, std::string_view body);
 
 } // namespace crocusport
 
--- a/include/crocusport/state/identifiers.h
+++ b/include/crocusport/state/identifiers.h
@@ -28,7 +28,7 @@
 using Tier = StrongType<int, struct TierTag>;
 //! Version of the published configuration; 0 means none.
 using ConfigurationVersion = StrongType<std::uint64_t, struct ConfigurationVersionTag>;
-//! Hash of a request's team, class or path, and body; equal for repeats of the same request.
+//! Hash of a request's team, class, target and body; equal for repeats of the same request.
 using Fingerprint = StrongType<std::uint64_t, struct FingerprintTag>;
 //! Hash of a prompt's leading text, for prefix-cache affinity; 0 means none.
 using PrefixHash = StrongType<std::uint64_t, struct PrefixHashTag>;
--- a/src/daemon/requestsession.cpp
+++ b/src/daemon/requestsession.cpp
@@ -87,7 +87,8 @@
         limitWait_ = *wait;
         return makeError(ResultCode::TeamOverLimit, "the team is over its request rate");
     }
-    fingerprint_ = fingerprintOf(admitted_.team, admitted_.requestClass.name, exchange_->body());
+    fingerprint_ = fingerprintOf(admitted_.team, admitted_.requestClass.name, exchange_->target(),
+                                 exchange_->body());
     if (admitted_.kind == PoolKind::Engine)
         return parseChat();
     forwardBody_ = exchange_->body();
--- a/src/protocol/chatrequest.cpp
+++ b/src/protocol/chatrequest.cpp
@@ -256,11 +256,11 @@
 }
 
 Fingerprint fingerprintOf(const TeamName &team, const ClassName &requestClass,
-                          std::string_view body)
+                          std::string_view target, std::string_view body)
 {
-    // Names contain no NUL, so the separators keep (team, class) pairs apart.
+    // Names and targets contain no NUL, so the separators keep them apart.
     std::string names = team.value();
-    names.append(1, '\0').append(requestClass.value()).append(1, '\0');
+    names.append(1, '\0').append(requestClass.value()).append(1, '\0').append(target);
     return Fingerprint(
         XXH3_64bits_withSeed(body.data(), body.size(), XXH3_64bits(names.data(), names.size())));
 }
--- a/tests/protocol/testchatrequest.cpp
+++ b/tests/protocol/testchatrequest.cpp
@@ -115,12 +115,18 @@
     });
 }
 
-// Guards against a crash mark that hits requests of other teams or classes.
-TEST_CASE("Fingerprints differ when team, class or body differ")
+// Guards against a crash mark that hits requests of other teams or classes, or all requests without
+// a body of one class.
+TEST_CASE("Fingerprints differ when team, class, target or body differ")
 {
-    const auto fingerprint = fingerprintOf(TeamName("t"), ClassName("c"), "body");
-    REQUIRE(fingerprint == fingerprintOf(TeamName("t"), ClassName("c"), "body"));
-    REQUIRE(fingerprint != fingerprintOf(TeamName("tc"), ClassName(""), "body"));
-    REQUIRE(fingerprint != fingerprintOf(TeamName("t"), ClassName("d"), "body"));
-    REQUIRE(fingerprint != fingerprintOf(TeamName("t"), ClassName("c"), "bodies"));
+    const auto of = [](const char *team, const char *requestClass, const char *target,
+                       const char *body) {
+        return fingerprintOf(TeamName(team), ClassName(requestClass), target, body);
+    };
+    const auto fingerprint = of("t", "c", "/a", "body");
+    REQUIRE(fingerprint == of("t", "c", "/a", "body"));
+    REQUIRE(fingerprint != of("tc", "", "/a", "body"));
+    REQUIRE(fingerprint != of("t", "d", "/a", "body"));
+    REQUIRE(fingerprint != of("t", "c", "/a", "bodies"));
+    REQUIRE(of("t", "c", "/a", "") != of("t", "c", "/b", ""));
 }
