Soak: Send requests that end each server which runs them

One request in thirty now ends its server, with and without a body; the server is back after 0.3 s under a new start. Once all faults have ended, a request that has ended three servers may end three more.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -22,6 +22,9 @@
 constexpr Duration kFinalTime = std::chrono::seconds(4);
 constexpr Duration kEventPause = std::chrono::milliseconds(30);
 constexpr int kDeadlineMs = 1500;
+// One request in so many is one that ends each server that runs it.
+constexpr int kCrashingShare = 30;
+constexpr Duration kCrashTime = std::chrono::milliseconds(300);
 constexpr Duration kRestartInterval = std::chrono::milliseconds(300);
 
 const char *kindName(SoakCheck::Kind kind)
@@ -54,6 +57,7 @@
     std::string name;
     std::unique_ptr<HttpServer> http;
     std::unique_ptr<FaultProxy> proxy;
+    int start = 1000;
     int refusals = 0; //!< Requests that it refuses next.
     int breaks = 0;   //!< Requests under which it breaks its connection next.
 };
@@ -130,10 +134,10 @@
 
 void Soak::enter(Server &server, const std::string &state)
 {
-    const Json entry = { { "service", "pool" }, { "address", server.proxy->address().value() },
-                         { "zone", "zone-1" },  { "slots", 40 },
-                         { "state", state },    { "coldRemainingMs", 0 },
-                         { "born", 1000 },      { "seq", ++sequence_ } };
+    const Json entry = { { "service", "pool" },    { "address", server.proxy->address().value() },
+                         { "zone", "zone-1" },     { "slots", 40 },
+                         { "state", state },       { "coldRemainingMs", 0 },
+                         { "born", server.start }, { "seq", ++sequence_ } };
     store_.put("servers/" + server.name, entry.dump());
 }
 
@@ -146,6 +150,10 @@
         return;
     }
     check_.ran(id, monotonicNow());
+    if (exchange->path().ends_with("/crash")) {
+        crash(server, exchange);
+        return;
+    }
     if (server.breaks > 0) {
         --server.breaks;
         exchange->abort();
@@ -162,6 +170,18 @@
     }
 }
 
+void Soak::crash(Server &server, const std::shared_ptr<HttpExchange> &exchange)
+{
+    check_.crashed(std::string(exchange->path()), isHealing_);
+    exchange->abort();
+    server.proxy->setFault(FaultProxy::Fault::Reset);
+    after(kCrashTime, [this, &server] {
+        server.proxy->setFault(FaultProxy::Fault::None);
+        ++server.start;
+        enter(server, "ready");
+    });
+}
+
 void Soak::continueStream(const std::shared_ptr<HttpExchange> &exchange, const std::string &id,
                           int next)
 {
@@ -177,23 +197,27 @@
 
 void Soak::sendRequest()
 {
-    const auto kind = static_cast<SoakCheck::Kind>(drawn(4));
+    const bool isCrashing = drawn(kCrashingShare) == 0;
+    // Of those that crash servers, one has a body and may run once, the other has none.
+    const auto kind = static_cast<SoakCheck::Kind>(drawn(isCrashing ? 2 : 4));
+    const bool hasBody = !isCrashing || kind == SoakCheck::Kind::Unsafe;
     auto caller = std::make_unique<Caller>();
     auto *const raw = caller.get();
     raw->id = "r" + std::to_string(++nextId_);
     const auto key = "key-"
         + std::to_string(keyNumber_ - (!isHealing_ && keyNumber_ > 1 && drawn(8) == 0 ? 1 : 0));
     check_.sent(raw->id, kind, key, monotonicNow());
-    sentAfterHealing_ += isHealing_ ? 1 : 0;
+    sentAfterHealing_ += isHealing_ && !isCrashing ? 1 : 0;
     HttpCallRequest request;
     request.address = routers_[static_cast<std::size_t>(drawn(options_.routers))]->callers();
-    request.method = "POST";
-    request.target = std::string("/") + kindName(kind) + "/1";
+    request.method = hasBody ? "POST" : "GET";
+    request.target = std::string("/") + kindName(kind) + (isCrashing ? "/crash" : "/1");
     request.headers = { { "Host", "app.example" },
                         { "X-Attempt-Id", raw->id },
                         { "X-Deadline-Ms", std::to_string(kDeadlineMs) },
                         { "Authorization", "Token " + key } };
-    request.body = "body of " + raw->id;
+    if (hasBody)
+        request.body = isCrashing ? "crash" : "body of " + raw->id;
     request.progressTimeout = std::chrono::seconds(5);
     HttpCallHandlers handlers;
     handlers.onHead = [raw](int status, const HttpHeaders &headers) {
--- a/tests/platform/soak/soak.h
+++ b/tests/platform/soak/soak.h
@@ -57,6 +57,8 @@
     void continueStream(const std::shared_ptr<HttpExchange> &exchange, const std::string &id,
                         int next);
     void sendRequest();
+    //! Ends the server under a request, as a crash does, and starts it again.
+    void crash(Server &server, const std::shared_ptr<HttpExchange> &exchange);
     void injectFault();
     void injectProcessFault();
     void injectConnectionFault();
--- a/tests/platform/soak/soakcheck.cpp
+++ b/tests/platform/soak/soakcheck.cpp
@@ -7,6 +7,9 @@
 // Bound of the settings that the soak gives its routers.
 constexpr Duration kRevocationBound = std::chrono::seconds(3);
 constexpr int kOk = 200;
+// The platform's bound: three servers show what a request does, and three more may end by it.
+constexpr int kCrashesThatShow = 3;
+constexpr int kAllowedCrashes = 3;
 
 bool isPromise(int status)
 {
@@ -73,6 +76,14 @@
     served_ += isWhole ? 1 : 0;
 }
 
+void SoakCheck::crashed(const std::string &request, bool isHealed)
+{
+    auto &crashes = crashes_[request];
+    const bool isShown = crashes.all++ >= kCrashesThatShow;
+    if (isHealed && isShown && ++crashes.late == kAllowedCrashes + 1)
+        fail(request, "sent on though servers have ended under it");
+}
+
 void SoakCheck::checkStream(const std::string &id, bool isWhole, const std::string &body)
 {
     std::string expected;
--- a/tests/platform/soak/soakcheck.h
+++ b/tests/platform/soak/soakcheck.h
@@ -27,6 +27,11 @@
     //! \a body is the whole of a complete answer, or what has arrived of one that was cut.
     void answered(const std::string &id, int status, bool isWhole, bool isSealed,
                   const std::string &body);
+    /*!
+        A server has ended under a request that ends each server; \a isHealed: all faults have ended
+        and routers have had time to learn what they missed.
+    */
+    void crashed(const std::string &request, bool isHealed);
     void keyWithdrawn(const std::string &key, Instant now) { withdrawn_[key] = now; }
 
     //! Faults so far, one text each.
@@ -53,7 +58,14 @@
     void fail(const std::string &id, const std::string &fault);
 
     std::map<std::string, Entry> entries_;
+    struct Crashes
+    {
+        int all = 0;
+        int late = 0; //!< Once three were known and all was healed.
+    };
+
     std::map<std::string, Instant> withdrawn_;
+    std::map<std::string, Crashes> crashes_; //!< By request.
     std::vector<std::string> faults_;
     std::uint64_t served_ = 0;
 };
--- a/tests/platform/testsoakcheck.cpp
+++ b/tests/platform/testsoakcheck.cpp
@@ -67,6 +67,22 @@
         check.ran("safe", now);
         REQUIRE(check.faults().size() == 1);
     }
+    WHEN("a request that ends servers is sent on after all has healed")
+    {
+        for (int i = 0; i < 6; ++i)
+            check.crashed("/safe/crash", true);
+        REQUIRE(check.faults().empty());
+        check.crashed("/safe/crash", true);
+        check.crashed("/safe/crash", true);
+        REQUIRE(check.faults().size() == 1);
+    }
+    WHEN("it is sent while routers cannot know better")
+    {
+        for (int i = 0; i < 20; ++i)
+            check.crashed("/safe/crash", false);
+        check.crashed("/safe/crash", true);
+        REQUIRE(check.faults().empty());
+    }
     WHEN("a server runs what nobody sent")
     {
         check.ran("unknown", now);
