Gateway: Take only a success for proof that a request can be run

Only a success acquits it now. Records that the store does not take are tried again at a pace that grows with the rank of the router, since calls are priced.

Red before (14), green now: testcrashingrequests.cpp, "and a server in trouble answers it with a failure now and then".

--- a/src/gateway/crashrecords.cpp
+++ b/src/gateway/crashrecords.cpp
@@ -1,5 +1,6 @@
 #include "crashrecords.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <string_view>
@@ -85,7 +86,8 @@
             record = records_.erase(record);
             continue;
         }
-        const bool isDue = now >= since + delay && (!triedAt || now >= *triedAt + kCallInterval);
+        const bool isDue =
+            now >= since + delay && (!triedAt || now >= *triedAt + kCallInterval + delay);
         if (isStored == isRefused || !isDue) {
             ++record;
             continue;
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -476,7 +476,9 @@
     mayHaveRun_ = true;
     const bool isFailure = answer_->status >= kServerError;
     server_->health.noteAnswer(isFailure, now);
-    services_.crashes.noteCompleted(fingerprint_, now);
+    // Any server in trouble may answer with a failure, also without having run the request.
+    if (answer_->status >= kOk && answer_->status < kMultipleChoices)
+        services_.crashes.noteCompleted(fingerprint_, now);
     const auto time = account_.attemptTime(now);
     server_->noteRun(time);
     if (!isStream_) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -364,8 +364,6 @@
 
 void Gateway::noteCrashSuspicion(const CrashSuspicion &suspicion)
 {
-    if (suspicion.fingerprint.value() == 0)
-        return;
     takeCrashSuspicion(suspicion, settings_.router);
     exchange_->noteCrashSuspicion(suspicion);
 }
--- a/tests/platform/testcrashingrequests.cpp
+++ b/tests/platform/testcrashingrequests.cpp
@@ -107,6 +107,16 @@
         REQUIRE(comeAgain(Deployment::request("unsafe", "", "key-2")) == "503");
         REQUIRE(servers.crashes() <= kAllowedCrashes);
     }
+    // Guards against taking any answer for proof that the request can be run.
+    SECTION("and a server in trouble answers it with a failure now and then")
+    {
+        deployment.second.handler = [&](const auto &exchange) {
+            exchange->reply(500, deployment.second.sealedHeaders(*exchange), "");
+        };
+        for (int i = 0; i < 3; ++i)
+            comeAgain(Deployment::request("unsafe"));
+        REQUIRE(servers.crashes() <= kAllowedCrashes);
+    }
     SECTION("before the entries of the servers are renewed")
     {
         deployment.store.erase("servers/second");
