RetryWindow: Save up slack over time, so that starts give nothing

Looking for the same cause elsewhere: each start of a router gave its share of half the slack anew, which holds for one restart in a window, not for restarts in series. Slack is now saved up from the router's start, at half its share in each window and up to half of it, so any window sees the share at most, whatever the routers forget.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -392,7 +392,7 @@
 RetryWindow &Gateway::retryWindow(const PoolName &pool)
 {
     const RetryLimits limits { settings_.retryRatio, settings_.retrySlack, settings_.retryWindow };
-    return retryWindows_.try_emplace(pool, limits).first->second;
+    return retryWindows_.try_emplace(pool, limits, startedAt_).first->second;
 }
 
 bool Gateway::isReady() const
--- a/src/gateway/retrywindow.cpp
+++ b/src/gateway/retrywindow.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Part of the budget that is used: arrivals are counted at the servers, a little later than here.
+// Part of the ratio that is used: arrivals are counted at the servers, a little later than here.
 constexpr double kUsedShare = 0.8;
-// The other half is for what was spent before a restart.
+// Part of the slack that is saved up, and that comes back in each window: a window sees both.
 constexpr double kSlackShare = 0.5;
 
 } // namespace
@@ -25,21 +25,37 @@
     requests_.push_back(now);
 }
 
-bool RetryWindow::canRepeat(std::size_t routerCount, Instant now)
+bool RetryWindow::isWithinRatio(Instant now)
 {
     expire(requests_, now - limits_.window);
     expire(repeats_, now - limits_.window);
-    double allowed = limits_.ratio * static_cast<double>(requests_.size());
-    if (routerCount > 0)
-        allowed += kSlackShare * limits_.slack / static_cast<double>(routerCount);
-    return static_cast<double>(repeats_.size()) + 1 <= kUsedShare * allowed;
+    const double allowed = kUsedShare * limits_.ratio * static_cast<double>(requests_.size());
+    return static_cast<double>(repeats_.size()) + 1 <= allowed;
+}
+
+void RetryWindow::saveSlack(std::size_t routerCount, Instant now)
+{
+    const double share =
+        kSlackShare * limits_.slack / static_cast<double>(std::max<std::size_t>(routerCount, 1));
+    const auto elapsed = now - savedAt_;
+    savedAt_ = now;
+    slack_ = std::min(share, slack_ + share * (toSeconds(elapsed) / toSeconds(limits_.window)));
+}
+
+bool RetryWindow::canRepeat(std::size_t routerCount, Instant now)
+{
+    saveSlack(routerCount, now);
+    return isWithinRatio(now) || slack_ >= 1;
 }
 
 bool RetryWindow::tryRepeat(std::size_t routerCount, Instant now)
 {
     if (!canRepeat(routerCount, now))
         return false;
-    repeats_.push_back(now);
+    if (isWithinRatio(now))
+        repeats_.push_back(now);
+    else
+        slack_ -= 1;
     return true;
 }
 
--- a/src/gateway/retrywindow.h
+++ b/src/gateway/retrywindow.h
@@ -18,15 +18,17 @@
 
 /*!
     The share of one pool's retry budget that this router may spend: the ratio of its own requests,
-    and an equal part of half the slack. So the routers together stay within the budget without
-    hearing each other, and also when all of them start again and have forgotten what they spent.
+    and an equal part of the slack, which is saved up over time. So the routers together stay within
+    the budget without hearing each other, however often they start again and forget what they have
+    spent: a start gives nothing.
 
     Thread safety: none; use from one thread.
 */
 class RetryWindow
 {
 public:
-    explicit RetryWindow(const RetryLimits &limits) : limits_(limits) { }
+    //! Slack is saved up from \a start on, when the router started.
+    RetryWindow(const RetryLimits &limits, Instant start) : limits_(limits), savedAt_(start) { }
 
     void noteRequest(Instant now);
     //! Returns whether one more repeat is in the budget of \a routerCount routers.
@@ -36,10 +38,14 @@
 
 private:
     static void expire(std::deque<Instant> &times, Instant limit);
+    bool isWithinRatio(Instant now);
+    void saveSlack(std::size_t routerCount, Instant now);
 
     RetryLimits limits_;
     std::deque<Instant> requests_;
-    std::deque<Instant> repeats_;
+    std::deque<Instant> repeats_; //!< That the ratio allowed.
+    double slack_ = 0;            //!< Further repeats that have been saved up.
+    Instant savedAt_;
 };
 
 } // namespace crocusport
