Tests: Set up two servers in one place

Cause: three scenarios of requests that crash servers repeated the same three lines of set-up. No product code changes.

--- a/tests/platform/testcrashingrequests.cpp
+++ b/tests/platform/testcrashingrequests.cpp
@@ -58,6 +58,14 @@
     int crashes_ = 0;
 };
 
+//! Configures the gateway and enters both servers.
+void serveWithBoth(Deployment &deployment)
+{
+    REQUIRE(deployment.serve());
+    deployment.enter(deployment.second);
+    deployment.settle();
+}
+
 //! Sends \a request to \a gateway and returns the status of its answer.
 std::string statusOf(Deployment &deployment, Gateway &gateway, const std::string &request)
 {
@@ -173,9 +181,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner);
-    REQUIRE(deployment.serve());
-    deployment.enter(deployment.second);
-    deployment.settle();
+    serveWithBoth(deployment);
     std::vector<std::shared_ptr<HttpExchange>> running;
     for (auto *const server : { &deployment.first, &deployment.second })
         server->handler = [&](const auto &exchange) { running.push_back(exchange); };
@@ -203,9 +209,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner);
-    REQUIRE(deployment.serve());
-    deployment.enter(deployment.second);
-    deployment.settle();
+    serveWithBoth(deployment);
     REQUIRE(statusOf(deployment, kWithoutBody) == "200");
     for (auto *const server : { &deployment.first, &deployment.second })
         server->handler = [](const auto &exchange) { exchange->abort(); };
@@ -220,9 +224,7 @@
 {
     LoopRunner runner;
     Deployment deployment(runner);
-    REQUIRE(deployment.serve());
-    deployment.enter(deployment.second);
-    deployment.settle();
+    serveWithBoth(deployment);
     std::vector<std::shared_ptr<HttpExchange>> running;
     for (auto *const server : { &deployment.first, &deployment.second })
         server->handler = [&, server](const auto &exchange) {
