Gateway: Log answers that are not a request's own, and how bodies ended

The logs could not tell the hypotheses of the incident apart: an answer that was rejected for its id looked like any malformed one, bytes after an answer left no trace, and nothing said that only a close had ended a body.

No decision changes.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -73,6 +73,7 @@
     HttpFailure failure = HttpFailure::None;
     int status = 0;             //!< 0 when no response head arrived.
     bool isRequestSent = false; //!< Whether any byte of the request may have left.
+    bool endsWithClose = false; //!< Only the close of the connection has ended the body.
 };
 
 //! Functions called as a response arrives. onEnd is called exactly once unless cancelled.
@@ -161,6 +162,9 @@
     std::size_t idleConnections() const;
     //! Connections opened since the start.
     std::uint64_t openedConnections() const;
+    //! Connections closed since the start because bytes came that belong to no call: after a whole
+    //! response, or while the connection was idle.
+    std::uint64_t strayConnections() const;
 
 private:
     std::unique_ptr<ConnectionPool> pool_;
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -369,6 +369,7 @@
     const bool isWrong =
         isSuccess && (!answer_->isSealed || answer_->isEncoded || answer_->requestId.empty());
     if (isForeign || isWrong) {
+        logRejectedAnswer(isForeign);
         rejectAnswer(HttpFailure::Malformed);
         return;
     }
@@ -376,6 +377,20 @@
     noteServerWishes();
 }
 
+void ForwardedRequest::logRejectedAnswer(bool isForeign) const
+{
+    LogLine line("answer_rejected");
+    line.add("id", request_.id)
+        .add("reason", isForeign ? "other_request" : "not_proved")
+        .add("answer_id", answer_->requestId)
+        .add("server", server_->entry.name.value())
+        .add("status", answer_->status)
+        .add("sealed", answer_->isSealed)
+        .add("encoded", answer_->isEncoded)
+        .add("new_connection", call_->isOnNewConnection());
+    services_.log.write(line.text());
+}
+
 // Ends the attempt; what its server has sent is of no use.
 void ForwardedRequest::rejectAnswer(HttpFailure failure)
 {
@@ -443,6 +458,7 @@
 void ForwardedRequest::onEnd(const HttpCallEnd &callEnd)
 {
     const auto self = shared_from_this();
+    isEndedByClose_ = callEnd.endsWithClose;
     heldAnswer_.release();
     const bool isWhole = callEnd.failure == HttpFailure::None && answer_
         && !(isStream_ && splitter_.hasPartialEvent());
@@ -701,6 +717,7 @@
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("fingerprint", fingerprint_.value())
         .add("prompt", work_.promptTokens)
+        .add("ended_by_close", isEndedByClose_)
         .add("late", latenessName(lateness))
         .add("configuration", table_ ? table_->version().value() : 0)
         .add("knowledge_age_ms", knownAgeMs())
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -71,6 +71,7 @@
     //! Whether the attempt goes on though its server has been silent.
     bool isWorthWaiting();
     void onHead(int status, const HttpHeaders &headers);
+    void logRejectedAnswer(bool isForeign) const;
     void rejectAnswer(HttpFailure failure);
     //! Takes in what the answer's head says of the server beside the request.
     void noteServerWishes();
@@ -135,6 +136,7 @@
     bool isSound_ = false;    //!< The new connection of the attempt was taken into use.
     bool isStream_ = false;   //!< The answer in progress is a stream of events.
     bool mayHaveRun_ = false; //!< An attempt may have run, or runs.
+    bool isEndedByClose_ = false; //!< Only the close of its connection ended the last answer.
     bool isEnded_ = false;
 };
 
--- a/src/transport/callstate.cpp
+++ b/src/transport/callstate.cpp
@@ -131,6 +131,7 @@
     result.failure = failure;
     result.status = status_;
     result.isRequestSent = isSent_;
+    result.endsWithClose = endsWithClose_;
     const auto handlers = std::exchange(handlers_, {});
     // The handler may destroy the call, so nothing may follow this call.
     if (handlers.onEnd)
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -163,6 +163,7 @@
 // at once.
 void ClientConnection::shutDown()
 {
+    isClosed_ = true;
     const auto socket = bufferevent_getfd(bufferevent_);
     if (socket >= 0)
         shutdown(socket, SHUT_RDWR);
@@ -186,6 +187,8 @@
     const auto call = call_;
     if (!call || call->isEnded()) {
         // A response to no request would be taken for the response to the next one.
+        if (!isClosed_)
+            pool_.noteStray();
         shutDown();
         pool_.discard(*this);
         return;
@@ -269,8 +272,10 @@
 
 void ClientConnection::finish(CallState &call)
 {
-    mayBeReused_ = isPooled_ && isKeptAlive_ && !isClosed_
-        && evbuffer_get_length(bufferevent_get_input(bufferevent_)) == 0
+    const bool isFollowed = evbuffer_get_length(bufferevent_get_input(bufferevent_)) > 0;
+    if (isFollowed)
+        pool_.noteStray();
+    mayBeReused_ = isPooled_ && isKeptAlive_ && !isClosed_ && !isFollowed
         && evbuffer_get_length(bufferevent_get_output(bufferevent_)) == 0;
     call.finish();
 }
--- a/src/transport/connectionpool.h
+++ b/src/transport/connectionpool.h
@@ -36,6 +36,9 @@
     void closeIdle(const SocketAddress &address);
     std::size_t idleCount() const { return idleCount_; }
     std::uint64_t openedCount() const { return openedCount_; }
+    //! A connection has delivered bytes that belong to no call.
+    void noteStray() { ++strayCount_; }
+    std::uint64_t strayCount() const { return strayCount_; }
     const HttpClient::Options &options() const { return options_; }
 
 private:
@@ -51,6 +54,7 @@
     Connections discarded_;
     std::size_t idleCount_ = 0;
     std::uint64_t openedCount_ = 0;
+    std::uint64_t strayCount_ = 0;
     Timer discardTimer_;
     Timer expiryTimer_;
 };
--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -90,4 +90,9 @@
     return pool_->openedCount();
 }
 
+std::uint64_t HttpClient::strayConnections() const
+{
+    return pool_->strayCount();
+}
+
 } // namespace crocusport
