Tests: Show a failure that is written into a stream that has begun

AnswerReader judges all bytes of a caller's connection without the product's parser; its own test cuts an answer at each byte.

--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -59,7 +59,7 @@
     bool waitReady();
     //! Configures the gateway, enters the first server and waits until the gateway is ready.
     bool serve();
-    //! A request to the route of \a kind ("safe", "unsafe", "stream", "fragile").
+    //! A request to the route of \a kind ("safe", "unsafe", "stream", "patient", "fragile").
     static std::string request(const std::string &kind, const std::string &extra = {},
                                const std::string &key = "key-1");
     int readyStatus();
--- /dev/null
+++ b/tests/transport/testanswerreader.cpp
@@ -0,0 +1,54 @@
+#include "answerreader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+
+// Guards against a check that would let bytes pass that are no answer.
+SCENARIO("Bytes of a connection are read as answers")
+{
+    const std::string plain = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+    const std::string stream = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    const auto read = [](const std::string &bytes, std::size_t requests,
+                         ConnectionEnd end = ConnectionEnd::Open) {
+        return readAnswers(bytes, requests, end);
+    };
+
+    WHEN("they are whole answers")
+    {
+        const auto connection = read(plain + stream + "0\r\n\r\n" + plain, 3);
+        REQUIRE(connection.fault.empty());
+        REQUIRE(connection.answers.size() == 3);
+        REQUIRE(connection.answers[1].body == "abc");
+        REQUIRE(connection.answers[2].isWhole);
+    }
+    WHEN("the last answer is cut anywhere")
+    {
+        const std::string whole = stream + "0\r\n\r\n";
+        for (std::size_t size = 1; size < whole.size(); ++size) {
+            CAPTURE(size);
+            const auto connection = read(whole.substr(0, size), 1, ConnectionEnd::Reset);
+            REQUIRE(connection.fault.empty());
+            REQUIRE_FALSE(connection.answers.at(0).isWhole);
+        }
+    }
+    WHEN("only the close ends an answer")
+    {
+        const std::string bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
+        REQUIRE(read(bytes, 1, ConnectionEnd::Closed).answers.at(0).isWhole);
+        REQUIRE_FALSE(read(bytes, 1, ConnectionEnd::Reset).answers.at(0).isWhole);
+    }
+    WHEN("there are more answers than requests")
+    {
+        REQUIRE(read(plain + plain, 1).fault.starts_with("bytes without a request"));
+    }
+    WHEN("a second head stands inside a chunked body")
+    {
+        REQUIRE(read(stream + plain, 2).fault.starts_with("no body of an answer"));
+        REQUIRE(read(stream + "HT", 2).fault.starts_with("no body of an answer"));
+    }
+    WHEN("bytes stand before an answer")
+    {
+        REQUIRE(read("x" + plain, 1).fault.starts_with("no head of an answer"));
+    }
+}
