HttpExchange: Drop the connection when a step of an answer comes out of order

A second head inside a body, a chunk before the head and an answer after a stream's end were refused by assertions alone, which the platform's build leaves out: the bytes went to the caller. Such a call is now logged, counted (crocusport_exchange_misuses) and drops the connection, in every build; after a whole answer there is nothing to drop, and it does nothing.

ConnectionPool::keep() returns where it dereferenced the end of a map.

--- a/include/crocusport/transport/httpexchange.h
+++ b/include/crocusport/transport/httpexchange.h
@@ -4,6 +4,7 @@
 #include "crocusport/state/instant.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,6 +23,10 @@
     One request that a server has received and its answer: either reply(), or startStream(),
     sendChunk() any number of times and endStream().
 
+    A call out of this order is logged and counted, and drops the connection, so that the caller
+    never reads bytes that are no answer to its request. After the whole answer there is no
+    connection to drop, and such a call does nothing more.
+
     After the caller has left, all sending methods do nothing. Destroying an exchange that has no
     answer sends status 500, and destroying one in mid-stream aborts it. Header names and values
    that contain line breaks or NUL are dropped, so that no input can inject a header (RFC 9110
@@ -80,6 +85,9 @@
     std::unique_ptr<Private> d_;
 };
 
+//! Calls of exchanges out of their order since the start. Loop thread only.
+std::uint64_t exchangeMisuses();
+
 } // namespace crocusport
 
 #endif // CROCUSPORT_HTTPEXCHANGE_H
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -441,6 +441,9 @@
     metrics_.setGauge("crocusport_stray_answers",
                       "Connections to backend servers closed because of bytes after an answer.",
                       static_cast<double>(backends_.strayConnections()));
+    metrics_.setGauge("crocusport_exchange_misuses",
+                      "Answers to callers that were dropped because a step came out of order.",
+                      static_cast<double>(exchangeMisuses()));
     metrics_.setGauge("crocusport_callback_failures", "Callbacks that ended with an exception.",
                       static_cast<double>(callbackFailures()));
     exchange.reply(kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text());
--- a/src/transport/connectionpool.cpp
+++ b/src/transport/connectionpool.cpp
@@ -3,7 +3,6 @@
 #include "clientconnection.h"
 
 #include <algorithm>
-#include <cassert>
 #include <utility>
 
 namespace crocusport {
@@ -56,7 +55,8 @@
 void ConnectionPool::keep(ClientConnection &connection)
 {
     const auto found = taken_.find(&connection);
-    assert(found != taken_.end());
+    if (found == taken_.end())
+        return; // It was discarded, and will be destroyed from the loop.
     auto &idle = idle_[connection.address()];
     idle.push_back(std::move(found->second));
     taken_.erase(found);
--- a/src/transport/httpexchange.cpp
+++ b/src/transport/httpexchange.cpp
@@ -7,8 +7,8 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <glog/logging.h>
 
-#include <cassert>
 #include <charconv>
 #include <cstdlib>
 #include <utility>
@@ -17,6 +17,8 @@
 
 namespace {
 
+std::uint64_t misuses = 0;
+
 // RFC 9110 sections 9.3.2 and 15.
 bool hasResponseBody(std::string_view method, int status)
 {
@@ -37,6 +39,29 @@
         d_->connection->forgetExchange();
 }
 
+bool HttpExchange::Private::require(Progress expected, std::string_view call)
+{
+    if (isClosed)
+        return false;
+    if (progress == expected)
+        return true;
+    ++misuses;
+    LOG(ERROR) << call << " at the wrong step of the answer to " << method << ' ' << path;
+    abort();
+    return false;
+}
+
+void HttpExchange::Private::abort()
+{
+    if (isClosed || !connection)
+        return;
+    isClosed = true;
+    closedHandler = nullptr;
+    auto *const dropped = std::exchange(connection, nullptr);
+    dropped->forgetExchange();
+    dropped->reset();
+}
+
 void HttpExchange::Private::setTarget(std::string_view target)
 {
     if (!target.empty() && target.front() != '/') {
@@ -149,9 +174,8 @@
 
 void HttpExchange::reply(int status, const HttpHeaders &headers, std::string_view body)
 {
-    if (d_->isClosed)
+    if (!d_->require(Private::Progress::Waiting, "reply"))
         return;
-    assert(d_->progress == Private::Progress::Waiting);
     d_->progress = Private::Progress::Answered;
     d_->closedHandler = nullptr;
     const bool hasBody = hasResponseBody(d_->method, status);
@@ -165,9 +189,8 @@
 
 void HttpExchange::startStream(int status, const HttpHeaders &headers)
 {
-    if (d_->isClosed)
+    if (!d_->require(Private::Progress::Waiting, "startStream"))
         return;
-    assert(d_->progress == Private::Progress::Waiting);
     d_->progress = Private::Progress::Streaming;
     d_->hasBody = hasResponseBody(d_->method, status);
     // A caller that speaks HTTP/1.0 gets the body without chunks, ended by the close.
@@ -180,9 +203,8 @@
 // loop iteration share memory and leave with one system call.
 void HttpExchange::sendChunk(std::string_view data)
 {
-    if (d_->isClosed || !d_->hasBody || data.empty())
+    if (!d_->require(Private::Progress::Streaming, "sendChunk") || !d_->hasBody || data.empty())
         return;
-    assert(d_->progress == Private::Progress::Streaming);
     auto *const output = d_->connection->output();
     if (!d_->isChunked) {
         evbuffer_add(output, data.data(), data.size());
@@ -200,9 +222,8 @@
 
 void HttpExchange::endStream()
 {
-    if (d_->isClosed)
+    if (!d_->require(Private::Progress::Streaming, "endStream"))
         return;
-    assert(d_->progress == Private::Progress::Streaming);
     d_->progress = Private::Progress::Answered;
     d_->closedHandler = nullptr;
     if (d_->isChunked && d_->hasBody)
@@ -212,13 +233,12 @@
 
 void HttpExchange::abort()
 {
-    if (d_->isClosed || !d_->connection)
-        return;
-    d_->isClosed = true;
-    d_->closedHandler = nullptr;
-    auto *const connection = std::exchange(d_->connection, nullptr);
-    connection->forgetExchange();
-    connection->reset();
+    d_->abort();
+}
+
+std::uint64_t exchangeMisuses()
+{
+    return misuses;
 }
 
 std::size_t HttpExchange::bufferedBytes() const
--- a/src/transport/httpexchange_p.h
+++ b/src/transport/httpexchange_p.h
@@ -12,6 +12,12 @@
 
     //! Splits \a target, which may be in absolute form, into path and query.
     void setTarget(std::string_view target);
+    /*!
+        Whether the answer stands at \a expected. The caller's bytes could not be told apart after a
+        \a call at any other step, so that logs, counts and drops the connection.
+    */
+    bool require(Progress expected, std::string_view call);
+    void abort();
     void writeHead(int status, const HttpHeaders &headers, std::string_view framing);
 
     ServerConnection *connection = nullptr; //!< Null after the caller has left or got all.
--- /dev/null
+++ b/tests/transport/testexchangemisuse.cpp
@@ -0,0 +1,128 @@
+#include "answerreader.h"
+#include "looprunner.h"
+#include "rawclient.h"
+#include "servers.h"
+
+#include "crocusport/transport/httpexchange.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crocusport;
+
+// Guards against a second head, a body after the end or a chunk without a head on the connection of
+// a caller, in builds without assertions too.
+SCENARIO("Answers whose steps come out of order")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &received) { exchange = received; });
+    RawClient client(runner.loop(), server->address());
+    const std::string request = "GET /a HTTP/1.1\r\n\r\n";
+    client.send(request);
+    REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+    const auto misusesBefore = exchangeMisuses();
+    const auto read = [&](std::size_t requests) {
+        return readAnswers(client.received(), requests,
+                           client.isReset() ? ConnectionEnd::Reset : ConnectionEnd::Open);
+    };
+    const auto isDroppedBy = [&](const auto &call) {
+        call();
+        const bool isReset = runner.runUntil([&] { return client.isReset(); });
+        const auto connection = read(1);
+        return isReset && connection.fault.empty()
+            && (connection.answers.empty() || !connection.answers[0].isWhole);
+    };
+
+    WHEN("the answer has not begun")
+    {
+        THEN("a chunk drops the connection")
+        {
+            REQUIRE(isDroppedBy([&] { exchange->sendChunk("a"); }));
+        }
+        THEN("an end drops the connection")
+        {
+            REQUIRE(isDroppedBy([&] { exchange->endStream(); }));
+        }
+        THEN("what follows the wrong step is not sent")
+        {
+            REQUIRE(isDroppedBy([&] {
+                exchange->sendChunk("a");
+                exchange->reply(200, {}, "late");
+            }));
+            REQUIRE(client.received().empty());
+        }
+    }
+    WHEN("the answer is a stream that has begun")
+    {
+        exchange->startStream(200, {});
+        exchange->sendChunk("event");
+        THEN("a whole answer drops the connection")
+        {
+            REQUIRE(isDroppedBy([&] { exchange->reply(500, {}, "failed"); }));
+        }
+        THEN("a second head drops the connection")
+        {
+            REQUIRE(isDroppedBy([&] { exchange->startStream(200, {}); }));
+        }
+    }
+    WHEN("the answer is whole")
+    {
+        const auto isStream = GENERATE(false, true);
+        if (isStream) {
+            exchange->startStream(200, {});
+            exchange->endStream();
+        } else {
+            exchange->reply(200, {}, "done");
+        }
+        const auto first = exchange;
+        const auto call = GENERATE(0, 1, 2, 3);
+        switch (call) {
+        case 0:
+            first->reply(200, {}, "again");
+            break;
+        case 1:
+            first->startStream(200, {});
+            break;
+        case 2:
+            first->sendChunk("more");
+            break;
+        default:
+            first->endStream();
+        }
+        THEN("nothing is sent, and the next request has its own answer")
+        {
+            exchange.reset();
+            client.send(request);
+            REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+            exchange->reply(200, {}, "next");
+            REQUIRE(runner.runUntil([&] { return client.received().ends_with("next"); }));
+            const auto connection = read(2);
+            REQUIRE(connection.fault.empty());
+            REQUIRE(connection.answers.size() == 2);
+            REQUIRE(connection.answers[1].body == "next");
+        }
+    }
+    REQUIRE(exchangeMisuses() == misusesBefore + 1);
+}
+
+// Guards against a log full of mistakes that are none: a caller may leave at any moment.
+SCENARIO("Steps of an answer after its caller has left")
+{
+    LoopRunner runner;
+    std::shared_ptr<HttpExchange> exchange;
+    const auto server =
+        makeServer(runner.loop(), [&](const auto &received) { exchange = received; });
+    {
+        RawClient client(runner.loop(), server->address());
+        client.send("GET /a HTTP/1.1\r\n\r\n");
+        REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
+    }
+    REQUIRE(runner.runUntil([&] { return exchange->isClosed(); }));
+    const auto misusesBefore = exchangeMisuses();
+    exchange->startStream(200, {});
+    exchange->sendChunk("a");
+    exchange->endStream();
+    exchange->reply(200, {}, "late");
+    REQUIRE(exchangeMisuses() == misusesBefore);
+}
