ForwardedRequest: Cut a begun stream whose next server answers with a failure

Callers of a resumable stream read "HTTP/1.1 500 ..." where the next chunk was due, and their connection was kept for other requests. Cause: when a stream broke after its first event, went on at another server and that one answered with anything but a stream (500, 404, 301, 503 without its word that it did not run), and no repeat was left, deliver() sent that answer as if nothing had been sent.

A begun stream goes on at another server while repeats are allowed, whatever the answer's status, and is cut otherwise.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -504,7 +504,8 @@
         services_.paceSeen(*server_, *pace);
     }
     releaseServer();
-    if (isFailure && route_.isIdempotent() && mayRepeat(AttemptFault::Failed)) {
+    const bool isUnusable = isFailure || (exchange_->isStarted() && !isStream_);
+    if (isUnusable && route_.isIdempotent() && mayRepeat(AttemptFault::Failed)) {
         logAttempt("attempt_failed", ResultCode::BackendServerError);
         place();
         return;
@@ -672,6 +673,11 @@
         end(Outcome::Completed, ResultCode::Ok, status);
         return;
     }
+    // A stream that has begun can only go on or be cut.
+    if (exchange_->isStarted()) {
+        finishFault(ResultCode::BackendServerError);
+        return;
+    }
     // Without the server's word that it did not run, the caller must not be told so.
     if (isPromise(status)) {
         exchange_->reply(kBadGateway, {}, "");
