ServerConnection: Reset connections whose answer is not complete

A caller of HTTP/1.0 gets streams without chunks, ended by the close of its connection. When the server ended, the caller closed its sending direction or did not read in time, that close was an orderly one: part of the stream looked like all of it.

Whatever is closed with part of an answer missing is now reset.

--- a/src/transport/serverconnection.cpp
+++ b/src/transport/serverconnection.cpp
@@ -329,11 +329,16 @@
         close();
 }
 
-void ServerConnection::reset()
+void ServerConnection::resetOnClose()
 {
     const linger withReset { 1, 0 };
     setsockopt(bufferevent_getfd(bufferevent_), SOL_SOCKET, SO_LINGER, &withReset,
                sizeof(withReset));
+}
+
+void ServerConnection::reset()
+{
+    resetOnClose();
     close();
 }
 
@@ -341,6 +346,9 @@
 {
     if (!bufferevent_)
         return;
+    // An orderly close could make an answer look whole of which something is missing.
+    if ((exchange_ && exchange_->isStarted()) || evbuffer_get_length(output()) > 0)
+        resetOnClose();
     timer_.stop();
     bufferevent_free(std::exchange(bufferevent_, nullptr));
     if (std::exchange(isBusy_, false))
--- a/src/transport/serverconnection.h
+++ b/src/transport/serverconnection.h
@@ -60,6 +60,7 @@
     static void onWritten(bufferevent *bufferevent, void *self);
     static void onEvent(bufferevent *bufferevent, short what, void *self);
 
+    void resetOnClose();
     bool hasUnreadBytes() const;
     void readRequest();
     bool beginRequest();
