ForwardedRequest: Repeat at a known address on a new connection

The id that tells answers apart is the request's, not the attempt's. Two entries may have one address (a server that has started again under another name); then a repeat could be sent on the connection of the attempt before, and a late second copy of that attempt's answer would pass for the repeat's: a refusal of something that runs. Found by reading; the test, red before, shows the shared connection.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -340,6 +340,10 @@
     call.acceptsCloseDelimited = true;
     if (route_.kind == RequestKind::Stream)
         call.progress = ResponseProgress::Noticed;
+    // A late copy of the earlier attempt's answer would carry this request's id.
+    if (std::find(triedAddresses_.begin(), triedAddresses_.end(), call.address)
+        != triedAddresses_.end())
+        call.connection = ConnectionUse::Fresh;
     return call;
 }
 
@@ -568,6 +572,7 @@
     server_->own -= load_;
     load_ = {};
     excluded_.push_back(server_->entry.name);
+    triedAddresses_.push_back(server_->entry.address);
     server_ = nullptr;
     call_.reset();
     services_.loadChanged();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -126,16 +126,17 @@
     std::optional<AnswerHead> answer_;
     std::string body_;
     EventSplitter splitter_;
-    AnswerMemory::Share heldAnswer_;           //!< For body_ and the event that is not complete.
-    AnswerMemory::Share unreadAnswer_;         //!< For what the caller has not read.
-    std::optional<std::uint64_t> lastEventId_; //!< That the caller has.
-    std::vector<BackendServerName> excluded_;
+    AnswerMemory::Share heldAnswer_;              //!< For body_ and the event that is not complete.
+    AnswerMemory::Share unreadAnswer_;            //!< For what the caller has not read.
+    std::optional<std::uint64_t> lastEventId_;    //!< That the caller has.
+    std::vector<BackendServerName> excluded_;     //!< Servers of earlier attempts.
+    std::vector<SocketAddress> triedAddresses_;   //!< Addresses of earlier attempts.
     HttpFailure lastFailure_ = HttpFailure::None; //!< Of the last attempt.
     int sentAttempts_ = 0;                        //!< That may have reached a server.
     int unsentAttempts_ = 0;
-    bool isSound_ = false;    //!< The new connection of the attempt was taken into use.
-    bool isStream_ = false;   //!< The answer in progress is a stream of events.
-    bool mayHaveRun_ = false; //!< An attempt may have run, or runs.
+    bool isSound_ = false;        //!< The new connection of the attempt was taken into use.
+    bool isStream_ = false;       //!< The answer in progress is a stream of events.
+    bool mayHaveRun_ = false;     //!< An attempt may have run, or runs.
     bool isEndedByClose_ = false; //!< Only the close of its connection ended the last answer.
     bool isEnded_ = false;
 };
