HttpClient: Read the own answer behind a late copy of an earlier one

A server that answers twice, the second time when the connection is in use again, made the next request fail: its copy was recognised by its id, but the connection was given up, so that a request that must not be repeated was answered 502 though its own answer was under way.

The copy is read to its end and dropped, and the connection is not used after the own answer. A copy without an id or without a recognisable end still ends the attempt.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -107,6 +107,13 @@
     bool isEnded() const;
     //! Whether the call is the first one on its connection.
     bool isOnNewConnection() const;
+    /*!
+        To be called in onHead only: the response is that of another call. It is read to its end and
+        dropped, onHead is called for the one that follows, and the connection is not used again.
+        Returns false, and does nothing, when the end of the response could not be recognised or
+        too many were dropped.
+    */
+    bool dropResponse();
     //! The response has made progress; from now on silence of \a limit is too long.
     void noteProgress(Duration limit);
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -374,6 +374,12 @@
         isSuccess && (!answer_->isSealed || answer_->isEncoded || answer_->requestId.empty());
     if (isForeign || isWrong) {
         logRejectedAnswer(isForeign);
+        // Behind the copy of an earlier answer, the request's own one is to come.
+        const bool isCopy = isForeign && !answer_->requestId.empty() && !call_->isOnNewConnection();
+        if (isCopy && call_->dropResponse()) {
+            answer_.reset();
+            return;
+        }
         rejectAnswer(HttpFailure::Malformed);
         return;
     }
--- a/src/transport/callstate.cpp
+++ b/src/transport/callstate.cpp
@@ -104,6 +104,11 @@
     callHandler(handlers_.onHead, status, headers);
 }
 
+bool CallState::dropResponse()
+{
+    return !isEnded_ && connection_ && connection_->dropResponse();
+}
+
 void CallState::deliverBody(std::string_view data)
 {
     if (isEnded_ || data.empty())
--- a/src/transport/callstate.h
+++ b/src/transport/callstate.h
@@ -39,6 +39,8 @@
     //! Bytes of the request have left.
     void markMoved() { lastMoved_ = monotonicNow(); }
 
+    //! See HttpCall::dropResponse().
+    bool dropResponse();
     //! \a endsWithClose tells that only the close of the connection will end the body.
     void deliverHead(int status, const HttpHeaders &headers, bool endsWithClose);
     //! Hands over \a data; ends the call when the body has become too large.
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeadBytes;
 // Interim responses before the final one; servers of these formats send at most one.
 constexpr int kMaxInterimResponses = 8;
+// Responses to other calls before the call's own one.
+constexpr int kMaxDroppedResponses = 8;
 // Probes without an answer after which the kernel closes a connection.
 constexpr int kProbeCount = 2;
 // A server's idle limit is passed when its last response has been under way for a moment.
@@ -102,6 +104,7 @@
         return;
     }
     interimResponses_ = 0;
+    droppedResponses_ = 0;
     startParser();
     if (isConnected_)
         writeRequest();
@@ -109,6 +112,7 @@
 
 void ClientConnection::startParser()
 {
+    isDropping_ = false;
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeadBytes);
     parser_->body_limit(boost::none);
@@ -228,10 +232,15 @@
         }
         if (parser_->is_header_done()) {
             auto data = std::exchange(parser_->get().body(), {});
-            call.deliverBody(data);
+            if (!isDropping_)
+                call.deliverBody(data);
             if (call.isEnded())
                 return false;
         }
+        if (parser_->is_done() && isDropping_) {
+            startParser();
+            continue;
+        }
         if (parser_->is_done())
             return true;
         if (isIncomplete || used == 0)
@@ -242,6 +251,14 @@
     return false;
 }
 
+bool ClientConnection::dropResponse()
+{
+    if (!isDelimited_ || ++droppedResponses_ > kMaxDroppedResponses)
+        return false;
+    isDropping_ = true;
+    return true;
+}
+
 bool ClientConnection::acceptHead(CallState &call)
 {
     const auto &message = parser_->get();
@@ -260,6 +277,7 @@
     const bool hasNoBody =
         status == kNoContent || status == kNotModified || call.request().method == "HEAD";
     const bool endsWithClose = framing == BodyFraming::None && !hasNoBody;
+    isDelimited_ = !endsWithClose;
     isKeptAlive_ =
         !endsWithClose && allowsKeepAlive(headers, static_cast<unsigned>(message.version()));
     maxIdle_ = pool_.options().maxIdle;
@@ -275,7 +293,7 @@
     const bool isFollowed = evbuffer_get_length(bufferevent_get_input(bufferevent_)) > 0;
     if (isFollowed)
         pool_.noteStray();
-    mayBeReused_ = isPooled_ && isKeptAlive_ && !isClosed_ && !isFollowed
+    mayBeReused_ = isPooled_ && isKeptAlive_ && !isClosed_ && !isFollowed && droppedResponses_ == 0
         && evbuffer_get_length(bufferevent_get_output(bufferevent_)) == 0;
     call.finish();
 }
--- a/src/transport/clientconnection.h
+++ b/src/transport/clientconnection.h
@@ -35,6 +35,8 @@
 
     //! Sends the request of \a call. Precondition: no other call is in progress.
     void send(std::shared_ptr<CallState> call);
+    //! Drops the response whose head has been handed over; see HttpCall::dropResponse().
+    bool dropResponse();
     //! The call has ended: returns the connection to the pool, or shuts it down.
     void release();
     //! Shuts the TCP connection down, which tells the server.
@@ -74,8 +76,11 @@
     Instant expiry_ {};
     Duration maxIdle_;         //!< What the server allows, if it says so.
     int interimResponses_ = 0; //!< Before the current response.
+    int droppedResponses_ = 0; //!< Before the current response.
     bool isPooled_ = false;    //!< The current call allows reuse.
     bool isKeptAlive_ = false; //!< The current response allows another request.
+    bool isDelimited_ = false; //!< The current response ends without a close.
+    bool isDropping_ = false;  //!< The current response is that of another call.
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool mayBeReused_ = false; //!< The current response is complete and allows another request.
--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -48,6 +48,11 @@
     return state_->isOnNewConnection();
 }
 
+bool HttpCall::dropResponse()
+{
+    return state_->dropResponse();
+}
+
 void HttpCall::noteProgress(Duration limit)
 {
     state_->noteProgress(limit);
--- a/tests/platform/testsecondanswers.cpp
+++ b/tests/platform/testsecondanswers.cpp
@@ -37,6 +37,91 @@
 
 } // namespace
 
+// Guards against an answer of another request, and against a request that is called lost because
+// such an answer came before its own.
+SCENARIO("The second copy of an answer comes when the connection is in use again")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
+    deployment.configure(1);
+    deployment.store.put("servers/raw", rawEntry(server));
+    REQUIRE(deployment.waitReady());
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    const auto isAnswered = [&](std::size_t count) {
+        return runner.runUntil([&] {
+            const auto connection = readAnswers(client.received(), count, ConnectionEnd::Open);
+            return connection.answers.size() == count && connection.answers.back().isWhole;
+        });
+    };
+    const auto ask = [&](const std::string &id) {
+        const auto before = server.requestCount();
+        client.send(requestWithId(id));
+        REQUIRE(runner.runUntil([&] { return server.requestCount() > before; }));
+    };
+    const auto second = [&] {
+        return readAnswers(client.received(), 2, ConnectionEnd::Open).answers.at(1);
+    };
+    ask("id-1");
+    server.sendToAll(answerTo("id-1", "own1"));
+    REQUIRE(isAnswered(1));
+    ask("id-2");
+    REQUIRE(server.connectionCount() == 1);
+
+    WHEN("the request's own answer follows it")
+    {
+        const auto copies =
+            GENERATE(as<std::string> {}, answerTo("id-1", "own1"), chunkedAnswerTo("id-1", "own1"),
+                     answerTo("id-1", "own1") + answerTo("id-1", "own1"));
+        server.sendToAll(copies + answerTo("id-2", "own2"));
+        REQUIRE(isAnswered(2));
+        THEN("the caller gets its own answer, and the connection is not used again")
+        {
+            REQUIRE(second().status == 200);
+            REQUIRE(second().body == "own2");
+            ask("id-3");
+            REQUIRE(server.connectionCount() == 2);
+        }
+    }
+    WHEN("the copy comes in single bytes")
+    {
+        for (const char byte : answerTo("id-1", "own1") + answerTo("id-2", "own2")) {
+            server.sendToAll(std::string(1, byte));
+            runner.runFor(Milliseconds(1));
+        }
+        REQUIRE(isAnswered(2));
+        REQUIRE(second().body == "own2");
+    }
+    WHEN("the copy ends only with its connection")
+    {
+        server.sendToAll("HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Seal: s\r\n\r\nown1");
+        THEN("the caller hears that its request may have run")
+        {
+            REQUIRE(isAnswered(2));
+            REQUIRE(second().status == 502);
+        }
+    }
+    WHEN("it names no request")
+    {
+        server.sendToAll("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n");
+        THEN("the caller hears that its request may have run")
+        {
+            REQUIRE(isAnswered(2));
+            REQUIRE(second().status == 502);
+        }
+    }
+    WHEN("nothing follows it")
+    {
+        server.sendToAll(answerTo("id-1", "own1"));
+        THEN("the caller hears so when its time is over")
+        {
+            REQUIRE(isAnswered(2));
+            REQUIRE(second().status == 504);
+        }
+    }
+}
+
 // Guards against the answer to an earlier attempt that is taken for the one to the next: both carry
 // the same id.
 SCENARIO("A request goes to two servers with one address")
