--- a/tests/transport/testcutanswers.cpp
+++ b/tests/transport/testcutanswers.cpp
@@ -37,8 +37,11 @@
     }
     WHEN("its caller does not read in time")
     {
+        constexpr std::size_t kMoreThanSocketsHold = 16'000'000;
         client.setReading(false);
-        exchange->sendChunk(std::string(16'000'000, 'a'));
+        std::string large;
+        large.resize(kMoreThanSocketsHold, 'a');
+        exchange->sendChunk(large);
         REQUIRE(runner.runUntil([&] { return exchange->isClosed(); }));
         client.setReading(true);
     }
