ServerConnection: Count the idle time from the last byte of an answer

An answer that took longer than the idle time to be read was cut though its caller read on: the time was started when the answer was made, and its end closed the connection with bytes in the buffer. The time now starts when all is written; until then the write timeout holds, as before.

100 Continue is not sent to callers of HTTP/1.0, who would take it for the answer.

--- a/src/transport/serverconnection.cpp
+++ b/src/transport/serverconnection.cpp
@@ -32,6 +32,7 @@
 // A caller that has just connected sends its request within this time.
 constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
 
+constexpr unsigned kHttp11 = 11;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
@@ -214,8 +215,10 @@
         return false;
     }
     const auto *const expect = findHeader(headers, "Expect");
-    if (expect && isEqualIgnoringCase(*expect, "100-continue") && !parser_->is_done()
-        && !std::exchange(isContinueSent_, true)) {
+    // Callers of HTTP/1.0 would take it for the answer (RFC 9110 section 10.1.1).
+    const bool knowsContinue = message.version() >= kHttp11;
+    if (expect && isEqualIgnoringCase(*expect, "100-continue") && knowsContinue
+        && !parser_->is_done() && !std::exchange(isContinueSent_, true)) {
         constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
         evbuffer_add(output(), kContinue.data(), kContinue.size());
     }
@@ -229,7 +232,7 @@
     parser_.reset();
     exchange->d_->connection = this;
     exchange->d_->method = std::string(message.method_string());
-    exchange->d_->isHttp11 = message.version() >= 11;
+    exchange->d_->isHttp11 = message.version() >= kHttp11;
     exchange->d_->headers = copyFields(message);
     exchange->d_->isKeptAlive =
         allowsKeepAlive(exchange->d_->headers, static_cast<unsigned>(message.version()));
@@ -275,19 +278,28 @@
 // inside the handler of the one before.
 void ServerConnection::waitForRequest()
 {
-    timer_.startOnce(server_.limits.idleTimeout);
+    startIdleTime();
     const auto idleTimeout = toTimeval(server_.limits.idleTimeout);
     bufferevent_set_timeouts(bufferevent_, nullptr, &idleTimeout);
     if (evbuffer_get_length(bufferevent_get_input(bufferevent_)) > 0)
         bufferevent_trigger(bufferevent_, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
+// The idle time counts from the last byte of the answer; until then the write timeout holds.
+void ServerConnection::startIdleTime()
+{
+    if (evbuffer_get_length(output()) == 0)
+        timer_.startOnce(server_.limits.idleTimeout);
+}
+
 void ServerConnection::onWritten(bufferevent * /*bufferevent*/, void *self)
 {
     auto *const connection = static_cast<ServerConnection *>(self);
     guardCallback("written answer", [&] {
         if (connection->isClosingAfterWrite_)
             connection->startLingering();
+        else if (!connection->isBusy_ && !connection->isReading_)
+            connection->startIdleTime();
     });
 }
 
--- a/src/transport/serverconnection.h
+++ b/src/transport/serverconnection.h
@@ -72,6 +72,7 @@
     //! A callback has failed half way; the connection cannot be used any more.
     void closeAfterFailure();
     void onTimer();
+    void startIdleTime();
     void startLingering();
     void waitForRequest();
 
