HttpClient: Drop no copies on connections that have carried HEAD

The copy of an answer to HEAD names the length of a body that does not come. Dropping it took the head of the own answer for that body, and what followed could be read as an answer.

--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -98,6 +98,7 @@
     const auto &request = current->request();
     isPooled_ = request.connection == ConnectionUse::Pooled;
     mayBeReused_ = false;
+    hasCarriedHead_ = hasCarriedHead_ || request.method == "HEAD";
     current->begin(*this, isConnected_);
     if (!isSendableHeader(request.method, "") || !isSendableTarget(request.target)) {
         CallState::endLater(current, HttpFailure::ConnectFailed);
@@ -253,7 +254,8 @@
 
 bool ClientConnection::dropResponse()
 {
-    if (!isDelimited_ || ++droppedResponses_ > kMaxDroppedResponses)
+    // The copy of a response to HEAD names the length of a body that does not come.
+    if (!isDelimited_ || hasCarriedHead_ || ++droppedResponses_ > kMaxDroppedResponses)
         return false;
     isDropping_ = true;
     return true;
--- a/src/transport/clientconnection.h
+++ b/src/transport/clientconnection.h
@@ -74,13 +74,14 @@
     std::shared_ptr<CallState> call_;
     std::optional<Parser> parser_; //!< Of the current response.
     Instant expiry_ {};
-    Duration maxIdle_;         //!< What the server allows, if it says so.
-    int interimResponses_ = 0; //!< Before the current response.
-    int droppedResponses_ = 0; //!< Before the current response.
-    bool isPooled_ = false;    //!< The current call allows reuse.
-    bool isKeptAlive_ = false; //!< The current response allows another request.
-    bool isDelimited_ = false; //!< The current response ends without a close.
-    bool isDropping_ = false;  //!< The current response is that of another call.
+    Duration maxIdle_;            //!< What the server allows, if it says so.
+    int interimResponses_ = 0;    //!< Before the current response.
+    int droppedResponses_ = 0;    //!< Before the current response.
+    bool isPooled_ = false;       //!< The current call allows reuse.
+    bool isKeptAlive_ = false;    //!< The current response allows another request.
+    bool isDelimited_ = false;    //!< The current response ends without a close.
+    bool isDropping_ = false;     //!< The current response is that of another call.
+    bool hasCarriedHead_ = false; //!< One of the calls was of the method HEAD.
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool mayBeReused_ = false; //!< The current response is complete and allows another request.
