--- a/tests/transport/testslowcallers.cpp
+++ b/tests/transport/testslowcallers.cpp
@@ -13,7 +13,9 @@
     LoopRunner runner;
     HttpServerLimits limits;
     limits.idleTimeout = std::chrono::milliseconds(500);
-    const std::string body(48'000'000, 'a');
+    constexpr std::size_t kMoreThanSocketsHold = 48'000'000;
+    std::string body;
+    body.resize(kMoreThanSocketsHold, 'a');
     const auto server = makeServer(
         runner.loop(), [&](const auto &exchange) { exchange->reply(200, {}, body); }, limits);
     RawClient client(runner.loop(), server->address());
