ForwardedRequest: Reject answers that are put together from two

A copy of an answer that is cut in its head, followed by the next answer, was read as one head with two ids or two seals, of which the last one counted: the caller got a 200 with fields of another answer. And a second copy behind a plain answer that only the close ends was counted into its body.

A head in which the id or the seal stands twice is no answer, and a body that only the close ends must not hold a status line and the request's own id behind it. A copy without an id behind such an answer cannot be told from its body.

--- a/include/crocusport/gateway/wiremessages.h
+++ b/include/crocusport/gateway/wiremessages.h
@@ -53,6 +53,7 @@
     int status = 0;
     std::string requestId;
     bool isSealed = false;      //!< It proves that the backend server wrote the answer.
+    bool isAmbiguous = false;   //!< A field that names its request or proves it stands twice.
     bool isNotExecuted = false; //!< The request has not run.
     bool isMisdirected = false; //!< Another server answers at the address; nothing has run.
     bool isEncoded = false;     //!< The body is not the one that the backend server wrote.
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -372,10 +372,11 @@
     const bool isSuccess = status >= kOk && status < kMultipleChoices;
     const bool isWrong =
         isSuccess && (!answer_->isSealed || answer_->isEncoded || answer_->requestId.empty());
-    if (isForeign || isWrong) {
+    if (isForeign || isWrong || answer_->isAmbiguous) {
         logRejectedAnswer(isForeign);
         // Behind the copy of an earlier answer, the request's own one is to come.
-        const bool isCopy = isForeign && !answer_->requestId.empty() && !call_->isOnNewConnection();
+        const bool isCopy = isForeign && !answer_->isAmbiguous && !answer_->requestId.empty()
+            && !call_->isOnNewConnection();
         if (isCopy && call_->dropResponse()) {
             answer_.reset();
             return;
@@ -391,7 +392,10 @@
 {
     LogLine line("answer_rejected");
     line.add("id", request_.id)
-        .add("reason", isForeign ? "other_request" : "not_proved")
+        .add("reason",
+             answer_->isAmbiguous ? "ambiguous"
+                 : isForeign      ? "other_request"
+                                  : "not_proved")
         .add("answer_id", answer_->requestId)
         .add("server", server_->entry.name.value())
         .add("status", answer_->status)
@@ -474,7 +478,7 @@
     isEndedByClose_ = callEnd.endsWithClose;
     heldAnswer_.release();
     const bool isWhole = callEnd.failure == HttpFailure::None && answer_
-        && !(isStream_ && splitter_.hasPartialEvent());
+        && !(isStream_ && splitter_.hasPartialEvent()) && !hasCopyInBody();
     if (isWhole) {
         onWholeAnswer();
         return;
@@ -490,6 +494,14 @@
             isSilent ? ResultCode::ProgressTimeout : ResultCode::BadBackendResponse);
 }
 
+// A second copy of an answer that only the close ends would be counted into its body.
+bool ForwardedRequest::hasCopyInBody() const
+{
+    static constexpr std::string_view kStatusLine = "HTTP/1.";
+    const auto line = isEndedByClose_ ? body_.find(kStatusLine) : std::string::npos;
+    return line != std::string::npos && body_.find(request_.id, line) != std::string::npos;
+}
+
 void ForwardedRequest::onWholeAnswer()
 {
     const auto now = monotonicNow();
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -78,6 +78,7 @@
     void onBody(std::string_view data);
     void onEvents(const EventBatch &batch);
     void onEnd(const HttpCallEnd &end);
+    bool hasCopyInBody() const;
     void onWholeAnswer();
     void releaseServer();
     void noteFault(AttemptFault fault, const HttpCallEnd &end);
