--- a/tests/transport/testaddressesandtext.cpp
+++ b/tests/transport/testaddressesandtext.cpp
@@ -34,7 +34,7 @@
 
 TEST_CASE("A socket address keeps its text when it is converted and back")
 {
-    rc::check("IPv4", [] {
+    REQUIRE(rc::check("IPv4", [] {
         std::string text;
         for (int i = 0; i < 4; ++i)
             text += (i ? "." : "") + std::to_string(*rc::gen::inRange(0, 256));
@@ -46,7 +46,7 @@
             },
             [](const Error & /*error*/) { return SocketAddress(); });
         RC_ASSERT(back.value() == text);
-    });
+    }));
 }
 
 // Guards against header injection (RFC 9110 section 5.5).
--- a/tests/transport/testhttpproperties.cpp
+++ b/tests/transport/testhttpproperties.cpp
@@ -30,7 +30,7 @@
                                               "Connection: close\r\n",
                                               "HEAD * HTTP/1.0\r\n",
                                               "Expect: 100-continue\r\n" };
-    rc::check("server survives", [&] {
+    REQUIRE(rc::check("server survives", [&] {
         const auto piece =
             rc::gen::oneOf(rc::gen::elementOf(pieces), rc::gen::arbitrary<std::string>());
         const auto input = *rc::gen::container<std::vector<std::string>>(piece);
@@ -42,7 +42,7 @@
         RawClient other(runner.loop(), server->address());
         other.send("GET /after HTTP/1.1\r\n\r\n");
         RC_ASSERT(runner.runUntil([&] { return other.received().starts_with("HTTP/1.1 200"); }));
-    });
+    }));
     REQUIRE(runner.runUntil([&] { return server->openExchanges() == 0; }));
 }
 
@@ -53,7 +53,7 @@
     const auto server =
         makeServer(runner.loop(), [&](const auto &received) { exchange = received; });
     HttpClient client(runner.loop(), {});
-    rc::check("chunks arrive unchanged", [&] {
+    REQUIRE(rc::check("chunks arrive unchanged", [&] {
         const auto chunks = *rc::gen::arbitrary<std::vector<std::string>>();
         exchange.reset();
         std::string sent;
@@ -75,7 +75,7 @@
         RC_ASSERT(runner.runUntil([&] { return call->isEnded(); }));
         RC_ASSERT(isComplete);
         RC_ASSERT(received == sent);
-    });
+    }));
 }
 
 // Guards against a response that reaches another caller (R3), also on reused connections.
@@ -87,7 +87,7 @@
         makeServer(runner.loop(), [&](const auto &exchange) { waiting.push_back(exchange); });
     HttpClient client(runner.loop(), {});
     int number = 0;
-    rc::check("responses match", [&] {
+    REQUIRE(rc::check("responses match", [&] {
         struct Call
         {
             std::string body;
@@ -139,5 +139,5 @@
             else
                 RC_ASSERT(call->received.empty());
         }
-    });
+    }));
 }
--- a/tests/transport/testpeerproperties.cpp
+++ b/tests/transport/testpeerproperties.cpp
@@ -18,15 +18,15 @@
     PeerNode left(runner.loop(), "left");
     PeerNode right(runner.loop(), "right");
     std::uint64_t sequence = 0;
-    rc::check("before the WebSocket handshake", [&] {
+    REQUIRE(rc::check("before the WebSocket handshake", [&] {
         RawClient client(runner.loop(), left.address());
         for (const auto &bytes : *rc::gen::arbitrary<std::vector<std::string>>())
             client.send(bytes);
         runner.runFor(Milliseconds(2));
         right.ping(left, ++sequence);
         RC_ASSERT(runner.runUntil([&] { return left.messages.size() == sequence; }));
-    });
-    rc::check("as messages", [&] {
+    }));
+    REQUIRE(rc::check("as messages", [&] {
         RawPeer peer(runner.loop(), left.address());
         RC_ASSERT(runner.runUntil([&] { return peer.isOpen(); }));
         for (const auto &message : *rc::gen::arbitrary<std::vector<std::string>>())
@@ -34,7 +34,7 @@
         runner.runFor(Milliseconds(2));
         right.ping(left, ++sequence);
         RC_ASSERT(runner.runUntil([&] { return left.messages.size() == sequence; }));
-    });
+    }));
     REQUIRE(left.ups.size() == 1);
     REQUIRE(left.downs.empty());
 }
@@ -45,7 +45,7 @@
 {
     LoopRunner runner;
     std::uint64_t sequence = 0;
-    rc::check("all pairs are connected in the end", [&] {
+    REQUIRE(rc::check("all pairs are connected in the end", [&] {
         std::array<std::unique_ptr<PeerNode>, 3> nodes;
         for (std::size_t i = 0; i < nodes.size(); ++i)
             nodes[i] = std::make_unique<PeerNode>(runner.loop(), "node-" + std::to_string(i));
@@ -86,5 +86,5 @@
                 RC_ASSERT(std::adjacent_find(received.begin(), received.end()) == received.end());
             }
         }
-    });
+    }));
 }
--- a/tests/transport/testwebsocketendpoint.cpp
+++ b/tests/transport/testwebsocketendpoint.cpp
@@ -154,15 +154,15 @@
 TEST_CASE("A WebSocket endpoint survives random bytes")
 {
     const auto role = GENERATE(WebSocketEndpoint::Role::Client, WebSocketEndpoint::Role::Server);
-    rc::check("before the handshake", [&] {
+    REQUIRE(rc::check("before the handshake", [&] {
         RecordedEndpoint endpoint(role);
         for (const auto &bytes : *rc::gen::arbitrary<std::vector<std::string>>()) {
             if (!endpoint.endpoint->receive(bytes))
                 break;
         }
         RC_ASSERT(endpoint.messages.empty());
-    });
-    rc::check("after the handshake", [&] {
+    }));
+    REQUIRE(rc::check("after the handshake", [&] {
         RecordedEndpoint client(WebSocketEndpoint::Role::Client);
         RecordedEndpoint server(WebSocketEndpoint::Role::Server);
         exchange(client, server, 1'000'000);
@@ -172,5 +172,5 @@
                 break;
         }
         RC_ASSERT(endpoint.closed <= 1);
-    });
+    }));
 }
