--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -118,7 +118,7 @@
     gateway = startRouter("router-1");
 }
 
-void Deployment::configure(int version, const std::string &key)
+void Deployment::configure(int version, const std::string &key, std::size_t maxBodyBytes)
 {
     const Json configuration = {
         { "version", version },
@@ -130,7 +130,7 @@
           { { { "name", "pool" }, { "healthPath", "/health" }, { "maxConns", 100 } } } },
         { "limits",
           { { "maxHeaderBytes", 4096 },
-            { "maxBodyBytes", 100'000 },
+            { "maxBodyBytes", maxBodyBytes },
             { "headerTimeoutMs", 1000 },
             { "idleTimeoutMs", 15'000 } } },
         { "tenants", { { { "name", "team-1" }, { "apiKeys", { key } }, { "priority", 1 } } } }
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -7,6 +7,7 @@
 
 #include "../transport/looprunner.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -51,7 +52,8 @@
     static const FormatTable &formats();
 
     //! Writes a configuration with a route of each kind; \a key is the only team's key.
-    void configure(int version, const std::string &key = "key-1");
+    void configure(int version, const std::string &key = "key-1",
+                   std::size_t maxBodyBytes = 100'000);
     //! Writes the entry of \a server, which started at \a start.
     void enter(const StandInServer &server, const std::string &state = "ready", int start = 1000);
     //! Lets the gateway read what the store holds.
