Soak: Judge every byte of kept connections, and play answers in trouble

Half of the callers now keep a connection until the router closes it, and its bytes are judged with readAnswers(). A new kind of fault, drawn beside the others: second copies of answers (at once, or late, where the next answer is expected; with and without an id), answers without a length, and streams that are cut, with 500, 404 and both kinds of 503 where they go on. Refusals carry Retry-After, and leaving servers say so.

--- a/tests/platform/soak/faultproxy.cpp
+++ b/tests/platform/soak/faultproxy.cpp
@@ -1,5 +1,7 @@
 #include "faultproxy.h"
 
+#include "../../transport/answerreader.h"
+
 #include "socketaddresses.h"
 
 #include <event2/buffer.h>
@@ -7,6 +9,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace crocusport {
@@ -15,6 +18,27 @@
 
 // Longer than any way inside a region, shorter than the time limits of calls.
 constexpr Duration kDelay = std::chrono::milliseconds(200);
+// Until a copy that is due asks again whether another answer is under way.
+constexpr Duration kCopyRetry = std::chrono::milliseconds(5);
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+bool isWhole(const ReadConnection &read)
+{
+    return !read.answers.empty() && read.answers.front().isWhole;
+}
+
+ReadConnection readOne(const std::string &answer)
+{
+    return readAnswers(answer, 1, ConnectionEnd::Open);
+}
+
+std::string withoutId(std::string answer)
+{
+    const auto start = answer.find("X-Attempt-Id: ");
+    if (start < answer.find(kHeadEnd))
+        answer.erase(start, answer.find("\r\n", start) + 2 - start);
+    return answer;
+}
 
 } // namespace
 
@@ -56,6 +80,12 @@
         close(&links_.front(), true);
 }
 
+void FaultProxy::setAnswerFault(const AnswerFault &fault, int answers)
+{
+    answerFault_ = fault;
+    faultyAnswers_ = answers;
+}
+
 void FaultProxy::passDelayed()
 {
     for (auto &link : links_) {
@@ -97,25 +127,104 @@
         evbuffer_drain(input, evbuffer_get_length(input));
         return;
     }
-    bufferevent_write_buffer(from == link->client ? link->server : link->client, input);
+    if (from == link->client) {
+        // A late copy comes where the next answer is expected, or alone once its time is over.
+        if (link->copyTimer && link->copyTimer->isActive())
+            link->proxy->sendCopy(link);
+        bufferevent_write_buffer(link->server, input);
+    } else {
+        link->proxy->passAnswer(link, input);
+    }
     if (fault == Fault::Delay)
         bufferevent_disable(from, EV_READ);
 }
 
+void FaultProxy::passAnswer(Link *link, evbuffer *input)
+{
+    if (link->answer.empty()) {
+        link->fault = faultyAnswers_ > 0 ? answerFault_ : AnswerFault();
+        faultyAnswers_ -= faultyAnswers_ > 0 ? 1 : 0;
+    }
+    const auto size = evbuffer_get_length(input);
+    link->answer.append(reinterpret_cast<const char *>(evbuffer_pullup(input, -1)), size);
+    if (link->fault.kind == AnswerFault::Kind::WithoutLength) {
+        evbuffer_drain(input, size);
+        passWithoutLength(link);
+        return;
+    }
+    bufferevent_write_buffer(link->client, input);
+    if (!isWhole(readOne(link->answer)))
+        return;
+    link->copy = std::exchange(link->answer, {});
+    if (link->fault.kind != AnswerFault::Kind::Copy)
+        return;
+    if (!link->fault.isWithId)
+        link->copy = withoutId(std::move(link->copy));
+    link->copyTimer = std::make_unique<Timer>(loop_, [this, link] { sendCopy(link); });
+    if (link->fault.delay == Duration::zero())
+        sendCopy(link);
+    else
+        link->copyTimer->startOnce(link->fault.delay);
+}
+
+void FaultProxy::sendCopy(Link *link)
+{
+    link->copyTimer->stop();
+    // Inside another answer it would be part of that one's body.
+    if (!link->answer.empty())
+        link->copyTimer->startOnce(kCopyRetry);
+    else if (fault_ == Fault::None && !link->isStuck)
+        bufferevent_write(link->client, link->copy.data(), link->copy.size());
+}
+
+void FaultProxy::passWithoutLength(Link *link)
+{
+    if (link->answer.find(kHeadEnd) == std::string::npos)
+        return;
+    const auto read = readOne(link->answer);
+    if (read.answers.empty())
+        return;
+    const auto &answer = read.answers.front();
+    std::string bytes;
+    if (!std::exchange(link->isHeadPassed, true)) {
+        bytes = "HTTP/1.1 " + std::to_string(answer.status) + " Some\r\n";
+        for (const auto &[name, value] : answer.headers) {
+            if (name != "Content-Length" && name != "Transfer-Encoding" && name != "Connection")
+                bytes.append(name).append(": ").append(value).append("\r\n");
+        }
+        bytes += "Connection: close\r\n\r\n";
+    }
+    bytes += answer.body.substr(link->passed);
+    link->passed = answer.body.size();
+    bufferevent_write(link->client, bytes.data(), bytes.size());
+    if (answer.isWhole)
+        closeOnceDrained(link->server, link);
+}
+
+void FaultProxy::closeOnceDrained(bufferevent *from, Link *link)
+{
+    auto *const to = from == link->client ? link->server : link->client;
+    bufferevent_disable(from, EV_READ);
+    bufferevent_setcb(to, nullptr, &FaultProxy::onDrained, &FaultProxy::onEvent, link);
+    bufferevent_trigger(to, EV_WRITE, BEV_OPT_DEFER_CALLBACKS); // When all has left already.
+}
+
 void FaultProxy::onEvent(bufferevent *from, short what, void *argument)
 {
     auto *const link = static_cast<Link *>(argument);
     if ((what & BEV_EVENT_CONNECTED) != 0 || link->isStuck)
         return;
     auto *const to = from == link->client ? link->server : link->client;
-    const bool isError = (what & BEV_EVENT_ERROR) != 0;
+    // Without a length, only a reset tells that the server has cut its answer.
+    const bool isCut = !link->answer.empty() && link->fault.kind == AnswerFault::Kind::WithoutLength
+        && !isWhole(readOne(link->answer));
+    const bool isError = (what & BEV_EVENT_ERROR) != 0 || (from == link->server && isCut);
     if (isError || evbuffer_get_length(bufferevent_get_output(to)) == 0) {
         link->proxy->close(link, isError);
         return;
     }
     // What has been received is passed on before the close.
-    bufferevent_disable(from, EV_READ);
-    bufferevent_setcb(to, nullptr, &FaultProxy::onDrained, &FaultProxy::onEvent, link);
+    closeOnceDrained(from, link);
 }
 
 void FaultProxy::onDrained(bufferevent * /*to*/, void *argument)
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <iostream>
 #include <iterator>
+#include <utility>
 
 namespace crocusport {
 
@@ -26,6 +27,13 @@
 constexpr int kCrashingShare = 30;
 constexpr Duration kCrashTime = std::chrono::milliseconds(300);
 constexpr Duration kRestartInterval = std::chrono::milliseconds(300);
+// Statuses with which servers fail streams that go on at them; of the two 503, the second says that
+// it has not run.
+constexpr int kResumeFailures[] = { 500, 404, 503, 503 };
+constexpr int kNotRunFailure = 3;
+constexpr int kCutStreams = 2; // Of the faults of answers.
+constexpr int kNeverCut = SoakCheck::kEvents + 1;
+constexpr std::size_t kCutEventBytes = 5; // Ends in the middle of an event.
 
 const char *kindName(SoakCheck::Kind kind)
 {
@@ -58,8 +66,12 @@
     std::unique_ptr<HttpServer> http;
     std::unique_ptr<FaultProxy> proxy;
     int start = 1000;
-    int refusals = 0; //!< Requests that it refuses next.
-    int breaks = 0;   //!< Requests under which it breaks its connection next.
+    int refusals = 0;       //!< Requests that it refuses next.
+    int breaks = 0;         //!< Requests under which it breaks its connection next.
+    int cuts = 0;           //!< Streams that it cuts next, after some events.
+    int resumeFailures = 0; //!< Streams that it fails next when they go on at it.
+    int resumeFailure = 0;  //!< Index in kResumeFailures.
+    bool isLeaving = false;
 };
 
 struct Soak::Caller
@@ -139,6 +151,7 @@
                          { "state", state },       { "coldRemainingMs", 0 },
                          { "born", server.start }, { "seq", ++sequence_ } };
     store_.put("servers/" + server.name, entry.dump());
+    server.isLeaving = state != "ready";
 }
 
 void Soak::answer(Server &server, const std::shared_ptr<HttpExchange> &exchange)
@@ -146,9 +159,14 @@
     const auto id = exchange->header("X-Attempt-Id").value_or("");
     if (server.refusals > 0) {
         --server.refusals;
-        exchange->reply(503, { { "X-Not-Executed", "1" } }, "");
+        exchange->reply(503, { { "X-Not-Executed", "1" }, { "Retry-After", "0.2" } }, "");
         return;
     }
+    HttpHeaders headers = { { "X-Attempt-Id", id }, { "X-Response-Seal", server.name } };
+    if (server.isLeaving)
+        headers.emplace_back("Server-Leaving", "1");
+    if (failResumed(server, exchange, headers))
+        return;
     check_.ran(id, monotonicNow());
     if (exchange->path().ends_with("/crash")) {
         crash(server, exchange);
@@ -159,17 +177,32 @@
         exchange->abort();
         return;
     }
-    const HttpHeaders headers = { { "X-Attempt-Id", id }, { "X-Response-Seal", server.name } };
     const auto path = exchange->path();
     if (path.starts_with("/stream/") || path.starts_with("/fragile/")) {
         exchange->startStream(200, headers);
         const auto last = exchange->header("Last-Event-Id").value_or("0");
-        continueStream(exchange, id, std::stoi(last) + 1);
+        const bool isCut = server.cuts > 0;
+        server.cuts -= isCut ? 1 : 0;
+        continueStream(exchange, id, std::stoi(last) + 1,
+                       isCut ? 1 + drawn(SoakCheck::kEvents) : kNeverCut);
     } else {
         exchange->reply(200, headers, SoakCheck::plainBody(id));
     }
 }
 
+bool Soak::failResumed(Server &server, const std::shared_ptr<HttpExchange> &exchange,
+                       const HttpHeaders &headers)
+{
+    if (server.resumeFailures == 0 || !exchange->header("Last-Event-Id"))
+        return false;
+    --server.resumeFailures;
+    auto failure = headers;
+    if (server.resumeFailure == kNotRunFailure)
+        failure.emplace_back("X-Not-Executed", "1");
+    exchange->reply(kResumeFailures[server.resumeFailure], failure, "failed");
+    return true;
+}
+
 void Soak::crash(Server &server, const std::shared_ptr<HttpExchange> &exchange)
 {
     check_.crashed(std::string(exchange->path()), isHealing_);
@@ -183,7 +216,7 @@
 }
 
 void Soak::continueStream(const std::shared_ptr<HttpExchange> &exchange, const std::string &id,
-                          int next)
+                          int next, int cutAt)
 {
     if (exchange->isClosed())
         return;
@@ -191,8 +224,14 @@
         exchange->endStream();
         return;
     }
+    if (next >= cutAt) {
+        exchange->sendChunk(SoakCheck::event(id, next).substr(0, kCutEventBytes));
+        after(kEventPause, [exchange] { exchange->abort(); });
+        return;
+    }
     exchange->sendChunk(SoakCheck::event(id, next));
-    after(kEventPause, [this, exchange, id, next] { continueStream(exchange, id, next + 1); });
+    after(kEventPause,
+          [this, exchange, id, next, cutAt] { continueStream(exchange, id, next + 1, cutAt); });
 }
 
 void Soak::sendRequest()
@@ -201,23 +240,28 @@
     // Of those that crash servers, one has a body and may run once, the other has none.
     const auto kind = static_cast<SoakCheck::Kind>(drawn(isCrashing ? 2 : 4));
     const bool hasBody = !isCrashing || kind == SoakCheck::Kind::Unsafe;
-    auto caller = std::make_unique<Caller>();
-    auto *const raw = caller.get();
-    raw->id = "r" + std::to_string(++nextId_);
+    const auto id = "r" + std::to_string(++nextId_);
     const auto key = "key-"
         + std::to_string(keyNumber_ - (!isHealing_ && keyNumber_ > 1 && drawn(8) == 0 ? 1 : 0));
-    check_.sent(raw->id, kind, key, monotonicNow());
+    check_.sent(id, kind, key, monotonicNow());
     sentAfterHealing_ += isHealing_ && !isCrashing ? 1 : 0;
     HttpCallRequest request;
     request.address = routers_[static_cast<std::size_t>(drawn(options_.routers))]->callers();
     request.method = hasBody ? "POST" : "GET";
     request.target = std::string("/") + kindName(kind) + (isCrashing ? "/crash" : "/1");
     request.headers = { { "Host", "app.example" },
-                        { "X-Attempt-Id", raw->id },
+                        { "X-Attempt-Id", id },
                         { "X-Deadline-Ms", std::to_string(kDeadlineMs) },
                         { "Authorization", "Token " + key } };
     if (hasBody)
-        request.body = isCrashing ? "crash" : "body of " + raw->id;
+        request.body = isCrashing ? "crash" : "body of " + id;
+    if (drawn(2) == 0) {
+        sendOnKeptConnection(id, request);
+        return;
+    }
+    auto caller = std::make_unique<Caller>();
+    auto *const raw = caller.get();
+    raw->id = id;
     request.progressTimeout = std::chrono::seconds(5);
     HttpCallHandlers handlers;
     handlers.onHead = [raw](int status, const HttpHeaders &headers) {
@@ -236,6 +280,40 @@
     callers_.emplace(raw, std::move(caller));
 }
 
+void Soak::sendOnKeptConnection(const std::string &id, const HttpCallRequest &request)
+{
+    auto bytes = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const auto &[name, value] : request.headers)
+        bytes.append(name).append(": ").append(value).append("\r\n");
+    bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+    const auto found = std::find_if(rawCallers_.begin(), rawCallers_.end(), [&](const auto &item) {
+        return item.first->isIdle() && item.first->address() == request.address;
+    });
+    auto *const caller = found != rawCallers_.end() ? found->first : addRawCaller(request.address);
+    caller->send(id, bytes);
+}
+
+RawCaller *Soak::addRawCaller(const SocketAddress &address)
+{
+    auto key = std::make_shared<RawCaller *>();
+    RawCaller::Handlers handlers;
+    handlers.onAnswer = [this](const std::string &id, const ReadAnswer &answer) {
+        const auto echoed = answer.header("X-Attempt-Id");
+        if (!echoed.empty() && echoed != id)
+            check_.fail(id, "got the answer to " + echoed);
+        check_.answered(id, answer.status, answer.isWhole,
+                        !answer.header("X-Response-Seal").empty(), answer.body);
+    };
+    handlers.onFault = [this](const std::string &id, const std::string &fault) {
+        check_.fail(id, fault);
+    };
+    handlers.onEnd = [this, key] { loop_.post([this, key] { rawCallers_.erase(*key); }); };
+    auto caller = std::make_unique<RawCaller>(loop_, address, std::move(handlers));
+    *key = caller.get();
+    rawCallers_.emplace(*key, std::move(caller));
+    return *key;
+}
+
 void Soak::injectFault()
 {
     tasks_.erase(std::remove_if(tasks_.begin(), tasks_.end(),
@@ -243,13 +321,16 @@
                  tasks_.end());
     if (isHealing_)
         return;
-    switch (drawn(3)) {
+    switch (drawn(4)) {
     case 0:
         injectProcessFault();
         break;
     case 1:
         injectConnectionFault();
         break;
+    case 2:
+        injectAnswerFault();
+        break;
     default:
         injectPlatformFault();
     }
@@ -336,6 +417,36 @@
     }
 }
 
+void Soak::injectAnswerFault()
+{
+    using Kind = FaultProxy::AnswerFault::Kind;
+    auto &server = *servers_[static_cast<std::size_t>(drawn(options_.servers))];
+    FaultProxy::AnswerFault fault;
+    const int choice = drawn(4);
+    // Cut streams come first, so that also a short run has them.
+    switch (std::exchange(hasCutStreams_, true) ? choice : kCutStreams) {
+    case 0:
+        note("second answers of " + server.name);
+        fault.kind = Kind::Copy;
+        fault.delay = std::chrono::milliseconds(drawn(3) == 0 ? 0 : 20 + drawn(280));
+        fault.isWithId = drawn(2) == 0;
+        server.proxy->setAnswerFault(fault, 1 + drawn(40));
+        break;
+    case 1:
+        note("answers without length of " + server.name);
+        fault.kind = Kind::WithoutLength;
+        server.proxy->setAnswerFault(fault, 1 + drawn(40));
+        break;
+    default:
+        note("cut streams, and failures where they go on");
+        for (const auto &each : servers_) {
+            each->cuts = 1 + drawn(20);
+            each->resumeFailure = drawn(static_cast<int>(std::size(kResumeFailures)));
+            each->resumeFailures = 1 + drawn(20);
+        }
+    }
+}
+
 void Soak::restartEnded()
 {
     for (const auto &router : routers_) {
@@ -357,6 +468,9 @@
         server->proxy->setFault(FaultProxy::Fault::None);
         server->refusals = 0;
         server->breaks = 0;
+        server->cuts = 0;
+        server->resumeFailures = 0;
+        server->proxy->setAnswerFault({}, 0);
         enter(*server, "ready");
     }
     for (const auto &router : routers_)
@@ -384,6 +498,8 @@
     endTimer.startOnce(healedAt + kRecoveryTime + kFinalTime);
     stopTimer.startOnce(healedAt + kRecoveryTime + kFinalTime + std::chrono::seconds(2));
     loop_.run();
+    for (const auto &[caller, owner] : rawCallers_)
+        caller->judge(ConnectionEnd::Open);
 
     const auto served = check_.served() - servedBeforeHealing_;
     std::cout << "seed " << options_.seed << ": " << check_.requests() << " requests, "
@@ -395,6 +511,7 @@
         static_cast<double>(served) >= kServedAfterHealing * static_cast<double>(sentAfterHealing_);
     if (!isBack)
         std::cout << "FAULT service did not come back\n";
+    std::cout << std::flush;
     return check_.faults().empty() && isBack;
 }
 
--- a/tests/platform/soak/soak.h
+++ b/tests/platform/soak/soak.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_SOAK_H
 
 #include "faultproxy.h"
+#include "rawcaller.h"
 #include "routerprocess.h"
 #include "soakcheck.h"
 
@@ -34,7 +35,10 @@
 
 /*!
     Runs real gateways against a store and servers of its own, sends requests, and injects faults
-    from outside: signals, and connections that are reset, silenced or cut one way. Faults overlap.
+    from outside: signals, and connections that are reset, silenced or cut one way; servers answer
+    twice, without a length, cut or with failures. Faults overlap.
+
+    Half of the callers keep their connections and judge every byte on them.
 
     Thread safety: loop thread only.
 */
@@ -54,15 +58,22 @@
     void configure();
     void enter(Server &server, const std::string &state);
     void answer(Server &server, const std::shared_ptr<HttpExchange> &exchange);
+    //! Sends the events from \a next on, and breaks off inside \a cutAt.
     void continueStream(const std::shared_ptr<HttpExchange> &exchange, const std::string &id,
-                        int next);
+                        int next, int cutAt);
+    //! Whether the server fails a stream that goes on at it.
+    bool failResumed(Server &server, const std::shared_ptr<HttpExchange> &exchange,
+                     const HttpHeaders &headers);
     void sendRequest();
+    void sendOnKeptConnection(const std::string &id, const HttpCallRequest &request);
+    RawCaller *addRawCaller(const SocketAddress &address);
     //! Ends the server under a request, as a crash does, and starts it again.
     void crash(Server &server, const std::shared_ptr<HttpExchange> &exchange);
     void injectFault();
     void injectProcessFault();
     void injectConnectionFault();
     void injectPlatformFault();
+    void injectAnswerFault();
     void heal();
     void restartEnded();
     void after(Duration delay, std::function<void()> task);
@@ -79,6 +90,7 @@
     std::vector<std::unique_ptr<Server>> servers_;
     std::vector<std::unique_ptr<RouterProcess>> routers_;
     std::unordered_map<Caller *, std::unique_ptr<Caller>> callers_;
+    std::unordered_map<RawCaller *, std::unique_ptr<RawCaller>> rawCallers_;
     std::vector<std::unique_ptr<Timer>> tasks_;
     Timer requestTimer_;
     Timer faultTimer_;
@@ -89,6 +101,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t nextId_ = 0;
     bool isHealing_ = false;
+    bool hasCutStreams_ = false;
     std::uint64_t sentAfterHealing_ = 0;
     std::uint64_t servedBeforeHealing_ = 0;
 };
--- a/tests/platform/soak/soakcheck.h
+++ b/tests/platform/soak/soakcheck.h
@@ -32,6 +32,8 @@
         and routers have had time to learn what they missed.
     */
     void crashed(const std::string &request, bool isHealed);
+    //! Notes a fault that the request \a id has met.
+    void fail(const std::string &id, const std::string &fault);
     void keyWithdrawn(const std::string &key, Instant now) { withdrawn_[key] = now; }
 
     //! Faults so far, one text each.
@@ -55,7 +57,6 @@
     };
 
     void checkStream(const std::string &id, bool isWhole, const std::string &body);
-    void fail(const std::string &id, const std::string &fault);
 
     std::map<std::string, Entry> entries_;
     struct Crashes
