ForwardedRequest: Take no close behind a dropped copy for a crash

A server that sent a second copy of an answer and closed the connection made the request behind it a suspect: two such closes refused equal requests for ten minutes. Test red before: the third round was refused.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -302,6 +302,7 @@
     }
     lastFailure_ = HttpFailure::None;
     isSound_ = false;
+    hasDroppedCopy_ = false;
     answer_.reset();
     body_.clear();
     splitter_.clear();
@@ -378,6 +379,7 @@
         const bool isCopy = isForeign && !answer_->isAmbiguous && !answer_->requestId.empty()
             && !call_->isOnNewConnection();
         if (isCopy && call_->dropResponse()) {
+            hasDroppedCopy_ = true;
             answer_.reset();
             return;
         }
@@ -549,7 +551,8 @@
         server_->health.noteUnreachable(now);
     const bool isClosed = callEnd.failure == HttpFailure::ClosedBeforeResponse
         || callEnd.failure == HttpFailure::ClosedMidResponse;
-    if (fault == AttemptFault::Broken && isClosed)
+    // A server that answers twice may also close early; that says nothing about the request.
+    if (fault == AttemptFault::Broken && isClosed && !hasDroppedCopy_)
         noteCrash(now);
     else if (fault == AttemptFault::Broken)
         noteUnanswered(now);
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -138,6 +138,7 @@
     bool isSound_ = false;             //!< The new connection of the attempt was taken into use.
     bool isStream_ = false;            //!< The answer in progress is a stream of events.
     bool hasUnnumberedEvents_ = false; //!< The caller has events without a number.
+    bool hasDroppedCopy_ = false;      //!< The attempt has met the answer to an earlier request.
     bool mayHaveRun_ = false;          //!< An attempt may have run, or runs.
     bool isEndedByClose_ = false;      //!< Only the close of its connection ended the last answer.
     bool isEnded_ = false;
--- a/tests/platform/testsecondanswers.cpp
+++ b/tests/platform/testsecondanswers.cpp
@@ -212,3 +212,67 @@
     REQUIRE(connection.answers.at(0).body == event);
     REQUIRE_FALSE(connection.answers.at(0).isWhole);
 }
+
+// Guards against the answer to an earlier attempt that is taken for the one to the next: both carry
+// the same id.
+SCENARIO("A request goes to two servers with one address")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    RawServer server(runner.loop(),
+                     "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: id-1\r\n"
+                     "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                     RawServer::Ending::KeepOpen);
+    deployment.configure(1);
+    deployment.store.put("servers/raw-a", rawEntry(server));
+    deployment.store.put("servers/raw-b", rawEntry(server));
+    REQUIRE(deployment.waitReady());
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    client.send(Deployment::request("unsafe"));
+    REQUIRE(runner.runUntil([&] { return client.received().starts_with("HTTP/1.1 503"); }));
+    REQUIRE(server.requestCount() == server.connectionCount());
+}
+
+// Guards against requests that are refused as the cause of crashes, because a sound server has sent
+// a second copy of an answer and closed the connection.
+SCENARIO("A server closes its connection behind the second copy of an answer")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
+    deployment.configure(1);
+    deployment.store.put("servers/raw", rawEntry(server));
+    REQUIRE(deployment.waitReady());
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    std::size_t answers = 0;
+    const auto ask = [&](const std::string &id, const std::string &path) {
+        const auto before = server.requestCount();
+        auto request = requestWithId(id);
+        client.send(request.replace(request.find("/unsafe/1"), 9, path));
+        return runner.runUntil([&] { return server.requestCount() > before; });
+    };
+    const auto nextStatus = [&] {
+        ++answers;
+        REQUIRE(runner.runUntil([&] {
+            const auto connection = readAnswers(client.received(), answers, ConnectionEnd::Open);
+            return connection.answers.size() == answers && connection.answers.back().isWhole;
+        }));
+        return readAnswers(client.received(), answers, ConnectionEnd::Open).answers.back().status;
+    };
+    REQUIRE(ask("id-1", "/unsafe/2"));
+    server.sendToAll(answerTo("id-1", "own1"));
+    REQUIRE(nextStatus() == 200);
+    for (int round = 1; round <= 4; ++round) {
+        CAPTURE(round);
+        const auto id = "id-1" + std::to_string(round);
+        REQUIRE(ask(id, "/unsafe/1"));
+        server.sendToAll(answerTo("id-1", "own1"));
+        runner.runFor(Milliseconds(20));
+        server.closeAll();
+        REQUIRE(nextStatus() == 502);
+        // The next connection has to be in use again.
+        REQUIRE(ask(id + "-next", "/unsafe/2"));
+        server.sendToAll(answerTo(id + "-next", "own1"));
+        REQUIRE(nextStatus() == 200);
+    }
+}
