RetryWindow, ClientConnection: Ask once, and derive what was kept

A repeat computed its share of the ratio twice, and a connection kept a flag beside the parser that says the same (need_eof()).

--- a/src/gateway/retrywindow.cpp
+++ b/src/gateway/retrywindow.cpp
@@ -50,12 +50,14 @@
 
 bool RetryWindow::tryRepeat(std::size_t routerCount, Instant now)
 {
-    if (!canRepeat(routerCount, now))
-        return false;
-    if (isWithinRatio(now))
+    saveSlack(routerCount, now);
+    if (isWithinRatio(now)) {
         repeats_.push_back(now);
-    else
-        slack_ -= 1;
+        return true;
+    }
+    if (slack_ < 1)
+        return false;
+    slack_ -= 1;
     return true;
 }
 
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -255,7 +255,7 @@
 bool ClientConnection::dropResponse()
 {
     // The copy of a response to HEAD names the length of a body that does not come.
-    if (!isDelimited_ || hasCarriedHead_ || ++droppedResponses_ > kMaxDroppedResponses)
+    if (parser_->need_eof() || hasCarriedHead_ || ++droppedResponses_ > kMaxDroppedResponses)
         return false;
     isDropping_ = true;
     return true;
@@ -279,7 +279,6 @@
     const bool hasNoBody =
         status == kNoContent || status == kNotModified || call.request().method == "HEAD";
     const bool endsWithClose = framing == BodyFraming::None && !hasNoBody;
-    isDelimited_ = !endsWithClose;
     isKeptAlive_ =
         !endsWithClose && allowsKeepAlive(headers, static_cast<unsigned>(message.version()));
     maxIdle_ = pool_.options().maxIdle;
--- a/src/transport/clientconnection.h
+++ b/src/transport/clientconnection.h
@@ -79,7 +79,6 @@
     int droppedResponses_ = 0;    //!< Before the current response.
     bool isPooled_ = false;       //!< The current call allows reuse.
     bool isKeptAlive_ = false;    //!< The current response allows another request.
-    bool isDelimited_ = false;    //!< The current response ends without a close.
     bool isDropping_ = false;     //!< The current response is that of another call.
     bool hasCarriedHead_ = false; //!< One of the calls was of the method HEAD.
     bool isConnected_ = false;
