Tests: Write raw servers' entries and read callers' connections in one place

The entry of a server in the store was written out in four places, and how a caller's connection ended was worked out in six before readAnswers(). Now Deployment::enter() and RawClient::read() serve them; every check stays, and a connection that is closed is now also judged as closed where it was taken for open.

--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -140,11 +140,22 @@
 
 void Deployment::enter(const StandInServer &server, const std::string &state, int start)
 {
-    const Json entry = { { "service", "pool" }, { "address", server.address().value() },
-                         { "zone", "zone-1" },  { "slots", 4 },
+    putEntry(server.name(), server.address(), kSlots, state, start);
+}
+
+void Deployment::enter(const std::string &name, const SocketAddress &address, int slots)
+{
+    putEntry(name, address, slots, "ready", kStart);
+}
+
+void Deployment::putEntry(const std::string &name, const SocketAddress &address, int slots,
+                          const std::string &state, int start)
+{
+    const Json entry = { { "service", "pool" }, { "address", address.value() },
+                         { "zone", "zone-1" },  { "slots", slots },
                          { "state", state },    { "coldRemainingMs", 0 },
                          { "born", start },     { "seq", ++sequence_ } };
-    store.put("servers/" + server.name(), entry.dump());
+    store.put("servers/" + name, entry.dump());
 }
 
 void Deployment::settle()
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -55,7 +55,9 @@
     void configure(int version, const std::string &key = "key-1",
                    std::size_t maxBodyBytes = 100'000);
     //! Writes the entry of \a server, which started at \a start.
-    void enter(const StandInServer &server, const std::string &state = "ready", int start = 1000);
+    void enter(const StandInServer &server, const std::string &state = "ready", int start = kStart);
+    //! Writes the entry of a server that is none of the deployment's own.
+    void enter(const std::string &name, const SocketAddress &address, int slots = kSlots);
     //! Lets the gateway read what the store holds.
     void settle();
     bool waitReady();
@@ -77,6 +79,12 @@
     std::unique_ptr<Gateway> gateway;
 
 private:
+    static constexpr int kSlots = 4;
+    static constexpr int kStart = 1000;
+
+    void putEntry(const std::string &name, const SocketAddress &address, int slots,
+                  const std::string &state, int start);
+
     const FormatTable &formats_;
     Milliseconds revocationBound_;
     std::uint64_t sequence_ = 0;
--- a/tests/platform/scriptedserver.cpp
+++ b/tests/platform/scriptedserver.cpp
@@ -54,12 +54,6 @@
     evconnlistener_free(listener_);
 }
 
-std::string ScriptedServer::entry() const
-{
-    return R"({"service":"pool","address":")" + address_.value()
-        + R"(","zone":"zone-1","slots":4,"state":"ready","coldRemainingMs":0,"born":1000,"seq":1})";
-}
-
 bool ScriptedServer::isOpen(std::size_t number) const
 {
     return std::any_of(connections_.begin(), connections_.end(), [&](const Connection &connection) {
--- a/tests/platform/scriptedserver.h
+++ b/tests/platform/scriptedserver.h
@@ -54,8 +54,6 @@
     ScriptedServer &operator=(const ScriptedServer &) = delete;
 
     const SocketAddress &address() const { return address_; }
-    //! The entry of the server in the store.
-    std::string entry() const;
     //! Connections since the start.
     std::size_t connectionCount() const { return received_.size(); }
 
--- a/tests/platform/testanswerproperties.cpp
+++ b/tests/platform/testanswerproperties.cpp
@@ -267,10 +267,10 @@
                 loop, [this](const auto &request) { return answer(request); }));
     }
 
-    void enter(StandInStore &store) const
+    void enter(Deployment &deployment) const
     {
         for (std::size_t i = 0; i < servers_.size(); ++i)
-            store.put("servers/scripted-" + std::to_string(i), servers_[i]->entry());
+            deployment.enter("scripted-" + std::to_string(i), servers_[i]->address());
     }
 
     int attempts(const std::string &id) const
@@ -480,13 +480,7 @@
 {
     CallerConnection(EventLoop &loop, const SocketAddress &address) : client(loop, address) { }
 
-    ReadConnection read() const
-    {
-        const auto end = client.isReset() ? ConnectionEnd::Reset
-            : client.isClosed()           ? ConnectionEnd::Closed
-                                          : ConnectionEnd::Open;
-        return readAnswers(client.received(), ids.size(), end);
-    }
+    ReadConnection read() const { return client.read(ids.size()); }
 
     bool hasAnswered() const
     {
@@ -561,7 +555,7 @@
         Servers servers(runner.loop(), serverCount, plans);
         Deployment deployment(runner);
         deployment.configure(1);
-        servers.enter(deployment.store);
+        servers.enter(deployment);
         RC_ASSERT(deployment.waitReady());
         std::vector<std::unique_ptr<CallerConnection>> connections;
         for (const auto &id : order) {
--- a/tests/platform/testbegunstreams.cpp
+++ b/tests/platform/testbegunstreams.cpp
@@ -1,6 +1,5 @@
 #include "deployment.h"
 
-#include "../transport/answerreader.h"
 #include "../transport/rawclient.h"
 
 #include <catch2/catch.hpp>
@@ -12,14 +11,6 @@
 const std::string kEvent1 = "id: 1\ndata: piece-1\n\n";
 const std::string kEvent2 = "id: 2\ndata: piece-2\n\n";
 
-ReadConnection readAll(const RawClient &client)
-{
-    const auto end = client.isReset() ? ConnectionEnd::Reset
-        : client.isClosed()           ? ConnectionEnd::Closed
-                                      : ConnectionEnd::Open;
-    return readAnswers(client.received(), 1, end);
-}
-
 } // namespace
 
 // Guards against a second answer inside the body of a stream that has begun.
@@ -72,7 +63,7 @@
         THEN("the caller sees the stream cut, and nothing more on its connection")
         {
             REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
-            const auto connection = readAll(client);
+            const auto connection = client.read(1);
             REQUIRE(connection.fault.empty());
             REQUIRE(connection.answers.size() == 1);
             REQUIRE(connection.answers[0].body == kEvent1);
@@ -89,7 +80,7 @@
         {
             REQUIRE(runner.runUntil(
                 [&] { return client.received().find("0\r\n\r\n") != std::string::npos; }));
-            const auto connection = readAll(client);
+            const auto connection = client.read(1);
             REQUIRE(connection.fault.empty());
             REQUIRE(connection.answers.size() == 1);
             REQUIRE(connection.answers[0].body == kEvent1 + kEvent2);
--- a/tests/platform/testheadcopies.cpp
+++ b/tests/platform/testheadcopies.cpp
@@ -26,10 +26,7 @@
     Deployment deployment(runner);
     RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    deployment.store.put(
-        "servers/raw",
-        R"({"service":"pool","address":")" + server.address().value()
-            + R"(","zone":"zone-1","slots":4,"state":"ready","coldRemainingMs":0,"born":1000,"seq":1})");
+    deployment.enter("raw", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     const auto ask = [&](const std::string &method, const std::string &id) {
--- a/tests/platform/testsecondanswers.cpp
+++ b/tests/platform/testsecondanswers.cpp
@@ -1,6 +1,5 @@
 #include "deployment.h"
 
-#include "../transport/answerreader.h"
 #include "../transport/rawclient.h"
 #include "../transport/rawserver.h"
 
@@ -10,12 +9,6 @@
 
 namespace {
 
-std::string rawEntry(const RawServer &server)
-{
-    return R"({"service":"pool","address":")" + server.address().value()
-        + R"(","zone":"zone-1","slots":4,"state":"ready","coldRemainingMs":0,"born":1000,"seq":1})";
-}
-
 std::string answerTo(const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: s\r\nContent-Length: "
@@ -45,12 +38,12 @@
     Deployment deployment(runner);
     RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    deployment.store.put("servers/raw", rawEntry(server));
+    deployment.enter("raw", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     const auto isAnswered = [&](std::size_t count) {
         return runner.runUntil([&] {
-            const auto connection = readAnswers(client.received(), count, ConnectionEnd::Open);
+            const auto connection = client.read(count);
             return connection.answers.size() == count && connection.answers.back().isWhole;
         });
     };
@@ -59,9 +52,7 @@
         client.send(requestWithId(id));
         REQUIRE(runner.runUntil([&] { return server.requestCount() > before; }));
     };
-    const auto second = [&] {
-        return readAnswers(client.received(), 2, ConnectionEnd::Open).answers.at(1);
-    };
+    const auto second = [&] { return client.read(2).answers.at(1); };
     ask("id-1");
     server.sendToAll(answerTo("id-1", "own1"));
     REQUIRE(isAnswered(1));
@@ -129,12 +120,12 @@
     Deployment deployment(runner);
     RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    deployment.store.put("servers/raw", rawEntry(server));
+    deployment.enter("raw", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     const auto isAnswered = [&](std::size_t count) {
         return runner.runUntil([&] {
-            const auto connection = readAnswers(client.received(), count, ConnectionEnd::Open);
+            const auto connection = client.read(count);
             return connection.answers.size() == count && connection.answers.back().isWhole;
         });
     };
@@ -149,7 +140,7 @@
     CAPTURE(copy.substr(0, cut));
     server.sendToAll(copy.substr(0, cut) + answerTo("id-2", "own2"));
     REQUIRE(isAnswered(2));
-    const auto second = readAnswers(client.received(), 2, ConnectionEnd::Open).answers.at(1);
+    const auto second = client.read(2).answers.at(1);
     REQUIRE(second.status == 502);
 }
 
@@ -166,11 +157,11 @@
         bytes += answer;
     RawServer server(runner.loop(), bytes, RawServer::Ending::Close);
     deployment.configure(1);
-    deployment.store.put("servers/raw", rawEntry(server));
+    deployment.enter("raw", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     client.send(Deployment::request("unsafe"));
-    const auto read = [&] { return readAnswers(client.received(), 1, ConnectionEnd::Open); };
+    const auto read = [&] { return client.read(1); };
     REQUIRE(runner.runUntil([&] {
         const auto connection = read();
         return !connection.answers.empty() && connection.answers[0].isWhole;
@@ -189,7 +180,7 @@
     Deployment deployment(runner);
     RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    deployment.store.put("servers/raw", rawEntry(server));
+    deployment.enter("raw", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     client.send(Deployment::request("fragile"));
@@ -206,8 +197,7 @@
     REQUIRE(runner.runUntil([&] {
         return client.isClosed() || client.received().find("0\r\n\r\n") != std::string::npos;
     }));
-    const auto connection = readAnswers(
-        client.received(), 1, client.isReset() ? ConnectionEnd::Reset : ConnectionEnd::Open);
+    const auto connection = client.read(1);
     REQUIRE(connection.fault.empty());
     REQUIRE(connection.answers.at(0).body == event);
     REQUIRE_FALSE(connection.answers.at(0).isWhole);
@@ -224,8 +214,8 @@
                      "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
                      RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    deployment.store.put("servers/raw-a", rawEntry(server));
-    deployment.store.put("servers/raw-b", rawEntry(server));
+    deployment.enter("raw-a", server.address());
+    deployment.enter("raw-b", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     client.send(Deployment::request("unsafe"));
@@ -241,7 +231,7 @@
     Deployment deployment(runner);
     RawServer server(runner.loop(), "", RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    deployment.store.put("servers/raw", rawEntry(server));
+    deployment.enter("raw", server.address());
     REQUIRE(deployment.waitReady());
     RawClient client(runner.loop(), deployment.gateway->callersAddress());
     std::size_t answers = 0;
@@ -254,10 +244,10 @@
     const auto nextStatus = [&] {
         ++answers;
         REQUIRE(runner.runUntil([&] {
-            const auto connection = readAnswers(client.received(), answers, ConnectionEnd::Open);
+            const auto connection = client.read(answers);
             return connection.answers.size() == answers && connection.answers.back().isWhole;
         }));
-        return readAnswers(client.received(), answers, ConnectionEnd::Open).answers.back().status;
+        return client.read(answers).answers.back().status;
     };
     REQUIRE(ask("id-1", "/unsafe/2"));
     server.sendToAll(answerTo("id-1", "own1"));
--- a/tests/platform/testtroubledservers.cpp
+++ b/tests/platform/testtroubledservers.cpp
@@ -18,21 +18,13 @@
 
 namespace {
 
+constexpr int kRawSlots = 200;
+
 bool isAnswered(const RawClient &client, const std::string &status)
 {
     return client.received().starts_with("HTTP/1.1 " + status);
 }
 
-//! Writes an entry for a server that is none of the deployment's own.
-void enterRaw(Deployment &deployment, const RawServer &server)
-{
-    deployment.store.put("servers/raw",
-                         R"({"service":"pool","address":")" + server.address().value()
-                             + R"(","zone":"zone-1","slots":200,"state":"ready",)"
-                             + R"("coldRemainingMs":0,"born":1000,"seq":1})");
-    deployment.settle();
-}
-
 #ifndef __SANITIZE_ADDRESS__
 std::size_t residentKb()
 {
@@ -62,7 +54,8 @@
                      "Content-Length: 0\r\n\r\n",
                      RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    enterRaw(deployment, server);
+    deployment.enter("raw", server.address(), kRawSlots);
+    deployment.settle();
     REQUIRE(deployment.waitReady());
     const auto statusOf = [&] {
         RawClient client(runner.loop(), deployment.gateway->callersAddress());
@@ -140,7 +133,8 @@
     RawServer server(runner.loop(), plain + (isStream ? "\r\nid: 1\ndata: " : "\r\n"),
                      RawServer::Ending::KeepOpen);
     deployment.configure(1);
-    enterRaw(deployment, server);
+    deployment.enter("raw", server.address(), kRawSlots);
+    deployment.settle();
     REQUIRE(deployment.waitReady());
 #ifndef __SANITIZE_ADDRESS__
     const auto before = residentKb();
--- a/tests/platform/testuncountedevents.cpp
+++ b/tests/platform/testuncountedevents.cpp
@@ -1,6 +1,5 @@
 #include "deployment.h"
 
-#include "../transport/answerreader.h"
 #include "../transport/rawclient.h"
 
 #include <catch2/catch.hpp>
@@ -38,8 +37,7 @@
     REQUIRE(runner.runUntil([&] {
         return client.isClosed() || client.received().find("0\r\n\r\n") != std::string::npos;
     }));
-    const auto connection = readAnswers(
-        client.received(), 1, client.isReset() ? ConnectionEnd::Reset : ConnectionEnd::Open);
+    const auto connection = client.read(1);
     REQUIRE(connection.fault.empty());
     REQUIRE(connection.answers.at(0).body == event);
     REQUIRE_FALSE(connection.answers.at(0).isWhole);
--- a/tests/transport/rawclient.cpp
+++ b/tests/transport/rawclient.cpp
@@ -40,6 +40,14 @@
     shutdown(bufferevent_getfd(buffers_), SHUT_WR);
 }
 
+ReadConnection RawClient::read(std::size_t requests) const
+{
+    const auto end = isReset_ ? ConnectionEnd::Reset
+        : isClosed_           ? ConnectionEnd::Closed
+                              : ConnectionEnd::Open;
+    return readAnswers(received_, requests, end);
+}
+
 void RawClient::setReading(bool isReading)
 {
     if (isReading)
--- a/tests/transport/rawclient.h
+++ b/tests/transport/rawclient.h
@@ -1,9 +1,12 @@
 #ifndef CROCUSPORT_RAWCLIENT_H
 #define CROCUSPORT_RAWCLIENT_H
 
+#include "answerreader.h"
+
 #include "crocusport/state/identifiers.h"
 #include "crocusport/transport/eventloop.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -28,6 +31,8 @@
     void setReading(bool isReading);
 
     const std::string &received() const { return received_; }
+    //! What has been received so far, read as the answers to \a requests requests.
+    ReadConnection read(std::size_t requests) const;
     bool isClosed() const { return isClosed_; }
     bool isReset() const { return isReset_; }
 
--- a/tests/transport/testcutanswers.cpp
+++ b/tests/transport/testcutanswers.cpp
@@ -1,4 +1,3 @@
-#include "answerreader.h"
 #include "looprunner.h"
 #include "rawclient.h"
 #include "servers.h"
@@ -46,8 +45,7 @@
         client.setReading(true);
     }
     REQUIRE(runner.runUntil([&] { return client.isClosed(); }));
-    const auto end = client.isReset() ? ConnectionEnd::Reset : ConnectionEnd::Closed;
-    const auto connection = readAnswers(client.received(), 1, end);
+    const auto connection = client.read(1);
     REQUIRE(connection.fault.empty());
     REQUIRE_FALSE(connection.answers.at(0).isWhole);
 }
--- a/tests/transport/testexchangemisuse.cpp
+++ b/tests/transport/testexchangemisuse.cpp
@@ -1,4 +1,3 @@
-#include "answerreader.h"
 #include "looprunner.h"
 #include "rawclient.h"
 #include "servers.h"
@@ -22,14 +21,10 @@
     client.send(request);
     REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
     const auto misusesBefore = exchangeMisuses();
-    const auto read = [&](std::size_t requests) {
-        return readAnswers(client.received(), requests,
-                           client.isReset() ? ConnectionEnd::Reset : ConnectionEnd::Open);
-    };
     const auto isDroppedBy = [&](const auto &call) {
         call();
         const bool isReset = runner.runUntil([&] { return client.isReset(); });
-        const auto connection = read(1);
+        const auto connection = client.read(1);
         return isReset && connection.fault.empty()
             && (connection.answers.empty() || !connection.answers[0].isWhole);
     };
@@ -97,7 +92,7 @@
             REQUIRE(runner.runUntil([&] { return exchange != nullptr; }));
             exchange->reply(200, {}, "next");
             REQUIRE(runner.runUntil([&] { return client.received().ends_with("next"); }));
-            const auto connection = read(2);
+            const auto connection = client.read(2);
             REQUIRE(connection.fault.empty());
             REQUIRE(connection.answers.size() == 2);
             REQUIRE(connection.answers[1].body == "next");
