ForwardedRequest: Log the shared parts of the prompt

The logs could not tell whether crashes of servers have a prompt part in common. attempt_failed and request_ended now name the ids of the shared parts, at most eight; attempt_failed also says how many events the attempt itself had received.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace crocusport {
@@ -50,6 +51,8 @@
 // Prefill of shorter shared parts costs less than a report of them to other routers.
 constexpr std::uint32_t kReportedPartTokens = 200;
 constexpr double kMsPerSecond = 1000;
+// Prompts have few shared parts; longer lists are truncated in log lines.
+constexpr std::size_t kMaxLoggedParts = 8;
 // Highest urgency value that backend servers accept.
 constexpr int kMaxUrgency = 9;
 
@@ -61,6 +64,16 @@
     return { { "Retry-After", std::to_string(ms / 1000) + '.' + fraction } };
 }
 
+//! Returns the ids of the shared parts of a prompt for log lines, in hexadecimal.
+std::string sharedPartsText(const std::vector<PromptPart> &parts)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i)
+        text << (i > 0 ? "," : "") << parts[i].id;
+    return text.str();
+}
+
 //! Whether callers conclude from \a status that the request has not run.
 bool meansNotRun(int status)
 {
@@ -757,6 +770,7 @@
         .add("unsent", unsentAttempts_)
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("fingerprint", fingerprint_.value())
+        .add("parts", sharedPartsText(work_.parts))
         .add("prompt", work_.promptTokens)
         .add("ended_by_close", isEndedByClose_)
         .add("late", latenessName(lateness))
@@ -779,12 +793,14 @@
     LogLine line(event);
     line.add("id", request_.id)
         .add("fingerprint", fingerprint_.value())
+        .add("parts", sharedPartsText(work_.parts))
         .add("code", static_cast<int>(code))
         .add("failure", httpFailureName(lastFailure_))
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("status", answer_ ? answer_->status : 0)
         .add("attempts", sentAttempts_)
         .add("events", account_.events())
+        .add("attempt_events", account_.attemptEvents())
         .add(
             "after_ms",
             std::chrono::duration_cast<Milliseconds>(account_.attemptTime(monotonicNow())).count());
