Gateway: Refuse requests that share a prompt part that crashes servers

Cause: a crash was only ever attributed to a whole request, known by team, target and body. Requests with the same part have different fingerprints, so no count grew, while sound requests that were running beside them reached two crashes and were refused.

Change: PartCrashLedger counts, for each shared part of a prompt, the crashes during which a request with it was running without an answer. Any later answer clears a part of the crashes known by then. A part is refused after three crashes that no other part explains better; parts with the same crashes are refused only together. Routers exchange suspicions, refusals, clearances and trials with their reports; they remind each other of refused parts every second; the store keeps a record of each, read at the start. A refused part is tried again by one request of one router, after 30 s, or 3 s if it was answered before, then ever more rarely. Crashes that a part explains no longer count for requests. The lists of suspicions for other zones, which only the first router of a zone emptied, are bounded at all routers.

--- a/src/gateway/crashrecords.cpp
+++ b/src/gateway/crashrecords.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-const std::string kKeyPrefix = "crocusport/crashes/";
 constexpr int kHexadecimal = 16;
 constexpr std::size_t kMaxDigits = 16;
 // Separates the crash ids in a record.
@@ -20,42 +19,49 @@
 // A router delays its calls by its rank times this duration.
 constexpr Duration kRankDelay = std::chrono::seconds(1);
 
-std::string keyOf(Fingerprint fingerprint)
+} // namespace
+
+template<RefusingLedger Ledger>
+CrashRecords<Ledger>::CrashRecords(HttpClient &client, const FormatTable &formats,
+                                   SocketAddress store, Ledger &ledger, std::string keyPrefix)
+    : client_(client), formats_(formats), store_(std::move(store)), ledger_(ledger),
+      keyPrefix_(std::move(keyPrefix))
+{ }
+
+template<RefusingLedger Ledger>
+std::string CrashRecords<Ledger>::keyOf(Fingerprint fingerprint) const
 {
     std::array<char, kMaxDigits> digits {};
     const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
                                    fingerprint.value(), kHexadecimal);
-    return kKeyPrefix + std::string(digits.data(), end.ptr);
+    return keyPrefix_ + std::string(digits.data(), end.ptr);
 }
 
-std::optional<Fingerprint> fingerprintOf(const std::string &key)
+template<RefusingLedger Ledger>
+std::optional<Fingerprint> CrashRecords<Ledger>::fingerprintOf(const std::string &key) const
 {
     const auto *const end = key.data() + key.size();
     std::uint64_t number = 0;
-    const auto parsed = std::from_chars(key.data() + kKeyPrefix.size(), end, number, kHexadecimal);
+    const auto parsed = std::from_chars(key.data() + keyPrefix_.size(), end, number, kHexadecimal);
     if (parsed.ec != std::errc() || parsed.ptr != end)
         return std::nullopt;
     return Fingerprint(number);
 }
 
-} // namespace
-
-CrashRecords::CrashRecords(HttpClient &client, const FormatTable &formats, SocketAddress store,
-                           CrashLedger &ledger)
-    : client_(client), formats_(formats), store_(std::move(store)), ledger_(ledger)
-{ }
-
-bool CrashRecords::isRecordKey(const std::string &key)
+template<RefusingLedger Ledger>
+bool CrashRecords<Ledger>::isRecordKey(const std::string &key) const
 {
-    return key.starts_with(kKeyPrefix);
+    return key.starts_with(keyPrefix_);
 }
 
-void CrashRecords::noteRefused(Fingerprint fingerprint, Instant now)
+template<RefusingLedger Ledger>
+void CrashRecords<Ledger>::noteRefused(Fingerprint fingerprint, Instant now)
 {
     records_.try_emplace(fingerprint, Record { false, now, std::nullopt });
 }
 
-void CrashRecords::applyChange(const StoreChange &change, Instant now)
+template<RefusingLedger Ledger>
+void CrashRecords<Ledger>::applyChange(const StoreChange &change, Instant now)
 {
     const auto fingerprint = fingerprintOf(change.key);
     if (!fingerprint)
@@ -66,15 +72,18 @@
         return;
     }
     records_[*fingerprint] = { true, now, std::nullopt };
+    std::vector<std::string> crashes;
     std::string_view rest = *change.value;
     while (!rest.empty()) {
         const auto end = std::min(rest.find(kSeparator), rest.size());
-        ledger_.add(*fingerprint, std::string(rest.substr(0, end)), now);
+        crashes.emplace_back(rest.substr(0, end));
         rest.remove_prefix(std::min(end + 1, rest.size()));
     }
+    ledger_.addRecord(*fingerprint, crashes, now);
 }
 
-void CrashRecords::update(std::size_t rank, Instant now)
+template<RefusingLedger Ledger>
+void CrashRecords<Ledger>::update(std::size_t rank, Instant now)
 {
     if (call_)
         return;
@@ -101,7 +110,8 @@
 }
 
 // The response is ignored: the router's copy of the store shows whether the call succeeded.
-void CrashRecords::start(HttpCallRequest request, Record &record, Instant now)
+template<RefusingLedger Ledger>
+void CrashRecords<Ledger>::start(HttpCallRequest request, Record &record, Instant now)
 {
     record.triedAt = now;
     request.address = store_;
@@ -113,4 +123,7 @@
     call_ = client_.start(std::move(request), std::move(handlers));
 }
 
+template class CrashRecords<CrashLedger>;
+template class CrashRecords<PartCrashLedger>;
+
 } // namespace crocusport
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -53,6 +53,8 @@
 constexpr double kMsPerSecond = 1000;
 // Prompts have few shared parts; longer lists are truncated in log lines.
 constexpr std::size_t kMaxLoggedParts = 8;
+// Crashes are attributed to the first shared parts of a prompt only.
+constexpr std::size_t kMaxSuspectedParts = 64;
 // Highest urgency value that backend servers accept.
 constexpr int kMaxUrgency = 9;
 
@@ -212,6 +214,8 @@
     const auto &caller = team_.value();
     hash = XXH64(caller.data(), caller.size(), hash);
     fingerprint_ = Fingerprint(XXH64(exchange_->body().data(), exchange_->body().size(), hash));
+    for (std::size_t i = 0; i + 1 < work_.parts.size() && i < kMaxSuspectedParts; ++i)
+        sharedParts_.push_back(partFingerprint(work_.parts[i].id));
 }
 
 // The current configuration may no longer contain the route or the key of a waiting request.
@@ -229,7 +233,22 @@
 // while running the same request.
 bool ForwardedRequest::isCrashCause() const
 {
-    return services_.crashes.refusedUntil(fingerprint_, monotonicNow()).has_value();
+    return services_.crashes.refusedUntil(fingerprint_, monotonicNow()).has_value()
+        || (!isTrial_ && hasRefusedPart());
+}
+
+bool ForwardedRequest::hasRefusedPart() const
+{
+    return services_.parts.refusedUntil(sharedParts_, monotonicNow()).has_value();
+}
+
+Duration ForwardedRequest::retryAfterCrashes() const
+{
+    const auto now = monotonicNow();
+    const auto trial = services_.parts.refusedUntil(sharedParts_, now);
+    if (!trial || services_.crashes.refusedUntil(fingerprint_, now))
+        return kRetryAfterCrashes;
+    return std::clamp<Duration>(*trial - now, kRetryAfterUnready, kRetryAfterCrashes);
 }
 
 void ForwardedRequest::place()
@@ -244,6 +263,7 @@
         finishFault(ResultCode::NotConfigured);
         return true;
     }
+    isTrial_ = hasRefusedPart() && services_.isTrialDue(sharedParts_);
     if (isCrashCause()) {
         finishFault(ResultCode::SuspectedCrashCause);
         return true;
@@ -254,6 +274,8 @@
                                                   excluded_, monotonicNow());
     if (!choice.server)
         return false;
+    if (isTrial_)
+        services_.trialStarted(sharedParts_);
     startAttempt(choice);
     return true;
 }
@@ -470,8 +492,10 @@
     const bool isFirst = account_.noteEvents(batch.count, now);
     call_->reportProgress(std::min(services_.silence.limit(route_, account_.longestPause()),
                                    std::max(deadline_ - now, Duration(Milliseconds(1)))));
-    if (isFirst)
+    if (isFirst) {
         services_.silence.noteBegin(route_.name, account_.attemptTime(now));
+        services_.partsAnswered(sharedParts_);
+    }
     if (load_.prefillTokens > 0) {
         // The first event shows that the server has finished the prefill of the prompt.
         ServerLoad read;
@@ -539,6 +563,8 @@
     // A faulty server may respond with an error without having run the request.
     if (answer_->status >= kOk && answer_->status < kMultipleChoices)
         services_.crashes.noteCompleted(fingerprint_, now);
+    if (!isStream_ && answer_->status >= kOk && answer_->status < kMultipleChoices)
+        services_.partsAnswered(sharedParts_);
     const auto time = account_.attemptTime(now);
     server_->noteRun(time);
     if (!isStream_) {
@@ -579,9 +605,11 @@
 void ForwardedRequest::noteCrash(Instant now)
 {
     const auto number = server_->noteCrash(now - account_.attemptTime(now), now);
-    services_.crashSuspected({ fingerprint_,
-                               crashId(server_->entry.name, server_->entry.start, number),
-                               crashEvidence() });
+    const auto &entry = server_->entry;
+    services_.crashSuspected(
+        { { fingerprint_, crashId(entry.name, entry.start, number), crashEvidence() },
+          crashId(entry.name, entry.start),
+          sharedParts_ });
 }
 
 // The client calls onReady, which sets isSendConfirmed_, only for new connections.
@@ -593,11 +621,12 @@
 void ForwardedRequest::noteUnanswered(Instant now)
 {
     const auto &entry = server_->entry;
+    const auto crash = crashId(entry.name, entry.start);
     if (server_->hasCrashed())
-        services_.crashSuspected(
-            { fingerprint_, crashId(entry.name, entry.start), crashEvidence() });
+        services_.crashSuspected({ { fingerprint_, crash, crashEvidence() }, crash, sharedParts_ });
     else
-        services_.unanswered.add(entry.name, entry.start, fingerprint_, crashEvidence(), now);
+        services_.unanswered.add(entry.name, entry.start, fingerprint_, crashEvidence(), now,
+                                 sharedParts_);
 }
 
 CrashEvidence ForwardedRequest::crashEvidence() const
@@ -703,7 +732,7 @@
         const auto pause = services_.selector.pause(pool_, monotonicNow());
         const bool isCrashCause = code == ResultCode::SuspectedCrashCause;
         refuse(kUnavailable, code,
-               isCrashCause ? kRetryAfterCrashes : std::max<Duration>(kRetryAfterUnready, pause));
+               isCrashCause ? retryAfterCrashes() : std::max<Duration>(kRetryAfterUnready, pause));
         return;
     }
     const int status = code == ResultCode::DeadlinePassed ? kGatewayTimeout : kBadGateway;
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -55,8 +55,12 @@
     void describeWork();
     void choosePool();
     bool isStillAllowed() const;
-    //! Whether the request is refused because servers crashed while running the same request.
+    //! Whether the request is refused because servers crashed while running the same request, or
+    //! requests with one of its shared parts.
     bool isCrashCause() const;
+    bool hasRefusedPart() const;
+    //! Time after which a request refused as crash cause is worth sending again.
+    Duration retryAfterCrashes() const;
 
     void place();
     bool tryPlace();
@@ -118,6 +122,7 @@
     PoolName pool_;
     WorkProfile work_;
     Fingerprint fingerprint_;
+    std::vector<Fingerprint> sharedParts_; //!< All parts of the prompt but the last.
     Instant deadline_;
     Timer deadlineTimer_;
     Timer waitTimer_;
@@ -145,6 +150,7 @@
     bool mayHaveRun_ = false;          //!< An attempt may have run or may be running.
     //! Only the close of the connection marked the end of the last response.
     bool isEndedByClose_ = false;
+    bool isTrial_ = false; //!< The attempt in progress is the trial of a refused part.
     bool isEnded_ = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,14 @@
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1000);
 constexpr std::chrono::seconds kProbeInterval { 1 };
 constexpr Duration kStoreCallTimeout = std::chrono::milliseconds(700);
+constexpr const char *kCrashRecordPrefix = "crocusport/crashes/";
+constexpr const char *kPartRecordPrefix = "crocusport/part-crashes/";
+// A router learns of a trial within these times, in its neighbourhood and in another zone.
+constexpr Duration kTrialRankDelay = std::chrono::milliseconds(300);
+constexpr Duration kTrialZoneDelay = std::chrono::milliseconds(1500);
+constexpr Duration kMaxTrialDelay = std::chrono::seconds(10);
+// Maximum number of refused parts of which routers remind each other per housekeeping interval.
+constexpr std::size_t kMaxReminders = 8;
 // Limits callers' connections, so that file descriptors remain for other connections.
 constexpr std::size_t kMaxCallers = 2500;
 
@@ -93,6 +101,7 @@
           waiting_,
           silence_,
           crashes_,
+          parts_,
           unanswered_,
           answerMemory_,
           metrics_,
@@ -107,7 +116,10 @@
           [this](ServerHash server, PromptPrefixHash prefix) {
               exchange_->notePromptPrefix(server, prefix);
           },
-          [this](const CrashSuspicion &suspicion) { noteCrashSuspicion(suspicion); },
+          [this](const CrashedRun &run) { noteCrashedRun(run); },
+          [this](const std::vector<Fingerprint> &parts) { notePartsAnswered(parts); },
+          [this](const std::vector<Fingerprint> &parts) { return isTrialDue(parts); },
+          [this](const std::vector<Fingerprint> &parts) { noteTrial(parts); },
           [this](KnownServer &server, double ms) {
               server.pace.note(ms, monotonicNow());
               exchange_->notePace(server.hash, ms);
@@ -148,8 +160,10 @@
                                                  answerMetrics(*exchange);
                                              }));
     }
-    crashRecords_ =
-        std::make_unique<CrashRecords>(storeClient_, formats_, settings_.store, crashes_);
+    crashRecords_ = std::make_unique<CrashRecords<CrashLedger>>(
+        storeClient_, formats_, settings_.store, crashes_, kCrashRecordPrefix);
+    partRecords_ = std::make_unique<CrashRecords<PartCrashLedger>>(
+        storeClient_, formats_, settings_.store, parts_, kPartRecordPrefix);
     BOOST_LEAF_CHECK(startExchange());
     StoreFeed::Options options { settings_.store, planLimits() };
     feed_ = std::make_unique<StoreFeed>(
@@ -196,6 +210,9 @@
         [this](const CrashSuspicion &suspicion, const RouterName &from) {
             return takeCrashSuspicion(suspicion, from);
         },
+        [this](const PartReport &report, const RouterName &from) {
+            return takePartReport(report, from);
+        },
     };
     BOOST_LEAF_ASSIGN(exchange_, RouterExchange::create(loop_, std::move(parts)));
     return {};
@@ -238,10 +255,14 @@
         return change.value && onConfiguration(*change.value);
     if (const auto server = formats_.serverNameOfKey(change.key))
         return onServer(*server, change);
-    if (CrashRecords::isRecordKey(change.key)) {
+    if (crashRecords_->isRecordKey(change.key)) {
         crashRecords_->applyChange(change, monotonicNow());
         return true;
     }
+    if (partRecords_->isRecordKey(change.key)) {
+        partRecords_->applyChange(change, monotonicNow());
+        return true;
+    }
     if (!Registration::isRouterKey(change.key))
         return false;
     if (!change.value) {
@@ -351,8 +372,8 @@
     if (!server.hasCrashed())
         return;
     const auto &entry = server.entry;
-    for (const auto &suspicion : unanswered_.take(entry.name, entry.start, monotonicNow()))
-        noteCrashSuspicion(suspicion);
+    for (const auto &run : unanswered_.take(entry.name, entry.start, monotonicNow()))
+        noteCrashedRun(run);
 }
 
 void Gateway::onServerLeaving(KnownServer &server, std::string_view source)
@@ -367,10 +388,121 @@
     exchange_->scheduleReport();
 }
 
-void Gateway::noteCrashSuspicion(const CrashSuspicion &suspicion)
+void Gateway::noteCrashedRun(const CrashedRun &run)
+{
+    takeCrashSuspicion(run.request, settings_.router);
+    exchange_->noteCrashSuspicion(run.request);
+    // A server that had begun to answer a part was not crashed by it.
+    if (run.request.evidence != CrashEvidence::BeforeAnswer)
+        return;
+    for (const auto part : run.parts) {
+        const PartReport report { PartVerdict::Suspected, part, { run.start }, 0 };
+        if (takePartReport(report, settings_.router))
+            exchange_->notePartReport(report);
+    }
+}
+
+bool Gateway::takePartReport(const PartReport &report, const RouterName &source)
+{
+    const auto now = monotonicNow();
+    bool isNew = false;
+    switch (report.verdict) {
+    case PartVerdict::Suspected:
+        for (const auto &crash : report.crashes) {
+            const auto effect = parts_.suspect(report.part, crash, now);
+            applyPartEffect(report, effect, source);
+            isNew = isNew || effect.isNew;
+        }
+        return isNew;
+    case PartVerdict::Refused: {
+        const auto effect = parts_.refuse(report.part, report.crashes, now);
+        applyPartEffect(report, effect, source);
+        isNew = effect.isNew;
+        break;
+    }
+    case PartVerdict::Cleared:
+        isNew = parts_.clear(report.part, report.crashes, now);
+        if (isNew)
+            logPartReport(report, source);
+        return isNew;
+    case PartVerdict::Tried:
+        return parts_.noteTrial(report.part, report.trials, now);
+    }
+    // The sender of the refusal has not received the report that clears the part.
+    const auto cleared = parts_.clearedOf(report.part, report.crashes);
+    if (!cleared.empty())
+        exchange_->notePartReport({ PartVerdict::Cleared, report.part, cleared, 0 });
+    return isNew;
+}
+
+void Gateway::applyPartEffect(const PartReport &report, const PartCrashLedger::Effect &effect,
+                              const RouterName &source)
+{
+    const auto now = monotonicNow();
+    if (effect.isNew && !effect.isNewlyRefused)
+        logPartReport(report, source);
+    // Requests that were running beside the cause are no longer suspected.
+    for (const auto &crash : effect.attributed)
+        crashes_.dismiss(crash, now);
+    if (effect.isNewlyRefused)
+        announceRefusedPart(report.part);
+}
+
+void Gateway::announceRefusedPart(Fingerprint part)
 {
-    takeCrashSuspicion(suspicion, settings_.router);
-    exchange_->noteCrashSuspicion(suspicion);
+    const PartReport refusal { PartVerdict::Refused, part, parts_.crashes(part), 0 };
+    for (const auto &crash : refusal.crashes)
+        crashes_.dismiss(crash, monotonicNow());
+    logPartReport(refusal, settings_.router);
+    exchange_->notePartReport(refusal);
+    partRecords_->noteRefused(part, monotonicNow());
+}
+
+void Gateway::logPartReport(const PartReport &report, const RouterName &source)
+{
+    log_.write(LogLine("prompt_part")
+                   .add("verdict", partVerdictName(report.verdict))
+                   .add("part", report.part.value())
+                   .add("crash", report.crashes.empty() ? "" : report.crashes.back())
+                   .add("crashes", parts_.crashCount(report.part))
+                   .add("trials", report.trials)
+                   .add("source", source.value())
+                   .text());
+}
+
+void Gateway::notePartsAnswered(const std::vector<Fingerprint> &parts)
+{
+    for (const auto part : parts) {
+        const PartReport report { PartVerdict::Cleared, part,
+                                  parts_.noteAnswered(part, monotonicNow()), 0 };
+        if (report.crashes.empty())
+            continue;
+        logPartReport(report, settings_.router);
+        exchange_->notePartReport(report);
+    }
+}
+
+// Routers that know of no trial of each other take their turns, so that only the first one sends a
+// request of a part that many callers use.
+bool Gateway::isTrialDue(const std::vector<Fingerprint> &parts) const
+{
+    const auto now = monotonicNow();
+    const auto until = parts_.refusedUntil(parts, now);
+    if (!until)
+        return false;
+    const auto &routers = exchange_->routers();
+    const auto delay = kTrialRankDelay * static_cast<int>(routers.rank(uptime()))
+        + kTrialZoneDelay * static_cast<int>(routers.zoneRank());
+    return now >= *until + std::min<Duration>(delay, kMaxTrialDelay);
+}
+
+void Gateway::noteTrial(const std::vector<Fingerprint> &parts)
+{
+    for (const auto &report : parts_.startTrial(parts, monotonicNow())) {
+        logPartReport(report, settings_.router);
+        exchange_->notePartReport(report);
+        exchange_->report();
+    }
 }
 
 bool Gateway::takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source)
@@ -431,9 +563,9 @@
                       feed_->mirror().freshAt() ? toSeconds(configurationAge()) : -1);
     metrics_.setGauge("crocusport_log_lines_dropped", "Log lines dropped since the start.",
                       static_cast<double>(log_.droppedLines()));
-    metrics_.setGauge(
-        "crocusport_store_calls", "Calls to the store since the start.",
-        static_cast<double>(feed_->storeCalls() + registration_->calls() + crashRecords_->calls()));
+    metrics_.setGauge("crocusport_store_calls", "Calls to the store since the start.",
+                      static_cast<double>(feed_->storeCalls() + registration_->calls()
+                                          + crashRecords_->calls() + partRecords_->calls()));
     metrics_.setGauge("crocusport_router_questions",
                       "Questions to other routers for what the store holds.",
                       static_cast<double>(feed_->routerCalls()));
@@ -443,6 +575,12 @@
     metrics_.setGauge("crocusport_refused_fingerprints",
                       "Requests that are refused because servers crashed while they ran.",
                       static_cast<double>(crashes_.refusedCount(monotonicNow())));
+    metrics_.setGauge("crocusport_refused_prompt_parts",
+                      "Prompt parts whose requests are refused because they crash servers.",
+                      static_cast<double>(parts_.refusedCount()));
+    metrics_.setGauge("crocusport_suspected_prompt_parts",
+                      "Prompt parts that were running in a crash and were not answered since.",
+                      static_cast<double>(parts_.suspectCount()));
     metrics_.setGauge("crocusport_stray_answers",
                       "Connections to backend servers closed because of bytes after an answer.",
                       static_cast<double>(backends_.strayConnections()));
@@ -469,8 +607,11 @@
         callers_->resumeAccepting();
     exchange_->tick(now);
     updateRegistration();
-    if (feed_->mirror().isComplete())
-        crashRecords_->update(exchange_->routers().rank(uptime()), now);
+    if (feed_->mirror().isComplete()) {
+        const auto rank = exchange_->routers().rank(uptime());
+        crashRecords_->update(rank, now);
+        partRecords_->update(rank, now);
+    }
     if (!waiting_.empty() && !waitingTimer_.isActive())
         waitingTimer_.startOnce(Duration::zero());
     if (now >= nextHousekeeping_) {
@@ -478,6 +619,12 @@
         directory_.expire(now);
         prefixes_.expire(now);
         crashes_.expire(now);
+        parts_.expire(now);
+        for (const auto part : parts_.refuseSuspects(now))
+            announceRefusedPart(part);
+        // For routers that have just started, or that have missed the reports.
+        for (const auto &refusal : parts_.nextRefusals(kMaxReminders))
+            exchange_->notePartReport(refusal);
     }
     if (stopRequestedAt_)
         continueShutdown();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,9 +72,19 @@
     bool mayUseStoreCopy();
     std::optional<StoreChanges> storeChanges(StoreRevision after) const;
     //! A request of this router was running when a server crashed.
-    void noteCrashSuspicion(const CrashSuspicion &suspicion);
+    void noteCrashedRun(const CrashedRun &run);
     //! Records a suspicion that router \a source reported. Returns whether it was new.
     bool takeCrashSuspicion(const CrashSuspicion &suspicion, const RouterName &source);
+    //! Applies a report about a prompt part from router \a source. Returns whether it was new.
+    bool takePartReport(const PartReport &report, const RouterName &source);
+    void applyPartEffect(const PartReport &report, const PartCrashLedger::Effect &effect,
+                         const RouterName &source);
+    //! Reports to the other routers, and records in the store, that this router refuses \a part.
+    void announceRefusedPart(Fingerprint part);
+    void logPartReport(const PartReport &report, const RouterName &source);
+    void notePartsAnswered(const std::vector<Fingerprint> &parts);
+    bool isTrialDue(const std::vector<Fingerprint> &parts) const;
+    void noteTrial(const std::vector<Fingerprint> &parts);
     Duration configurationAge() const;
     RetryWindow &retryWindow(const PoolName &pool);
     void answerReady(HttpExchange &exchange) const;
@@ -97,6 +107,7 @@
     WaitingList waiting_;
     SilenceLimits silence_;
     CrashLedger crashes_;
+    PartCrashLedger parts_;
     UnansweredRuns unanswered_;
     AnswerMemory answerMemory_;
     RequestMetrics metrics_;
@@ -108,7 +119,8 @@
     std::unique_ptr<HttpServer> metricsServer_;
     std::unique_ptr<RouterExchange> exchange_;
     std::unique_ptr<StoreFeed> feed_;
-    std::unique_ptr<CrashRecords> crashRecords_;
+    std::unique_ptr<CrashRecords<CrashLedger>> crashRecords_;
+    std::unique_ptr<CrashRecords<PartCrashLedger>> partRecords_;
     std::unique_ptr<Registration> registration_;
     Timer tickTimer_;
     Timer waitingTimer_;
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -3,6 +3,7 @@
 
 #include "answermemory.h"
 #include "formattable.h"
+#include "partcrashledger.h"
 #include "prefixmemory.h"
 #include "retrywindow.h"
 #include "serverdirectory.h"
@@ -42,6 +43,7 @@
     WaitingList &waiting;
     SilenceLimits &silence;
     CrashLedger &crashes;
+    PartCrashLedger &parts;
     UnansweredRuns &unanswered;
     AnswerMemory &answerMemory;
     RequestMetrics &metrics;
@@ -63,7 +65,14 @@
     //! Reports that a prompt with this prefix was sent to the server.
     std::function<void(ServerHash, PromptPrefixHash)> promptPrefixSent;
     //! Reports that a request was running when a server crashed.
-    std::function<void(const CrashSuspicion &)> crashSuspected;
+    std::function<void(const CrashedRun &)> crashSuspected;
+    //! Reports that a server answers a request whose prompt has these shared parts.
+    std::function<void(const std::vector<Fingerprint> &parts)> partsAnswered;
+    //! Whether this router may send a request with these parts as a trial, although some of them
+    //! are refused.
+    std::function<bool(const std::vector<Fingerprint> &parts)> isTrialDue;
+    //! Reports that a request with these parts is sent as a trial.
+    std::function<void(const std::vector<Fingerprint> &parts)> trialStarted;
     //! Reports a sample of the server's pace; see ServerPace.
     std::function<void(KnownServer &, double ms)> paceSeen;
     //! Returns the mean age of the loads that other routers have reported.
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t kLoadFields = 5;
 constexpr std::size_t kPairFields = 2;
 constexpr std::size_t kSuspicionFields = 3;
+constexpr auto kMaxPartVerdict = static_cast<std::uint64_t>(PartVerdict::Tried);
+constexpr std::uint64_t kMaxTrials = 1000;
 
 std::uint64_t number(const Json &json)
 {
@@ -49,6 +51,26 @@
     return json.is_array() && json.size() == size;
 }
 
+std::optional<PartReport> partReportFrom(const Json &row)
+{
+    if (!isArrayOf(row, kSuspicionFields) || !row[2].is_array() || number(row[1]) > kMaxPartVerdict)
+        return std::nullopt;
+    PartReport report;
+    report.part = Fingerprint(number(row[0]));
+    report.verdict = static_cast<PartVerdict>(number(row[1]));
+    if (report.verdict == PartVerdict::Tried) {
+        if (row[2].empty())
+            return std::nullopt;
+        report.trials = static_cast<int>(std::min(number(row[2][0]), kMaxTrials));
+        return report;
+    }
+    for (const auto &crash : row[2]) {
+        if (report.crashes.size() < PartCrashLedger::kMaxCrashes)
+            report.crashes.push_back(text(crash));
+    }
+    return report;
+}
+
 ServerLoad loadFrom(const Json &row)
 {
     ServerLoad load;
@@ -76,6 +98,16 @@
     for (const auto &suspicion : report.suspicions)
         suspicions.push_back({ suspicion.fingerprint.value(), suspicion.crash,
                                suspicion.evidence == CrashEvidence::BeforeAnswer });
+    // Routers of earlier versions ignore rows of a list of suspicions that have another structure.
+    for (const auto &part : report.partReports) {
+        auto details = Json::array();
+        if (part.verdict == PartVerdict::Tried)
+            details.push_back(static_cast<std::uint64_t>(part.trials));
+        for (const auto &crash : part.crashes)
+            details.push_back(crash);
+        suspicions.push_back(
+            { part.part.value(), static_cast<std::uint64_t>(part.verdict), std::move(details) });
+    }
     auto leaving = Json::array();
     for (const auto &[server, start] : report.leaving)
         leaving.push_back({ server, start.value() });
@@ -148,6 +180,8 @@
             report.suspicions.push_back(
                 { Fingerprint(number(row[0])), text(row[1]),
                   row[2].get<bool>() ? CrashEvidence::BeforeAnswer : CrashEvidence::DuringAnswer });
+        else if (const auto part = partReportFrom(row))
+            report.partReports.push_back(*part);
     }
     return report;
 }
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_LOADEXCHANGE_H
 #define CROCUSPORT_LOADEXCHANGE_H
 
+#include "partcrashledger.h"
 #include "prefixmemory.h"
 #include "routerdirectory.h"
 #include "serverdirectory.h"
@@ -49,6 +50,7 @@
     //! Prefixes of prompts that were sent to servers since the last report.
     std::vector<std::pair<ServerHash, PromptPrefixHash>> promptPrefixes;
     std::vector<CrashSuspicion> suspicions; //!< Repeated for a short time.
+    std::vector<PartReport> partReports;    //!< Repeated for a short time.
 };
 
 //! Encodes a report as CBOR. Safe from any thread.
--- a/src/gateway/routerdirectory.cpp
+++ b/src/gateway/routerdirectory.cpp
@@ -153,6 +153,14 @@
     return countLivingNeighbours(routers_.lower_bound(self_), now);
 }
 
+std::size_t RouterDirectory::zoneRank() const
+{
+    if (isFullMesh())
+        return 0;
+    return static_cast<std::size_t>(
+        std::distance(zoneSizes_.begin(), zoneSizes_.lower_bound(zone_)));
+}
+
 std::size_t RouterDirectory::countLivingNeighbours(Routers::const_iterator end, Duration now) const
 {
     const auto neighbourhood = this->neighbourhood(zone_);
--- a/src/gateway/routerdirectory.h
+++ b/src/gateway/routerdirectory.h
@@ -72,6 +72,9 @@
     //! Returns this router's rank: the number of living neighbours whose names sort before this
     //! router's name.
     std::size_t rank(Duration now) const;
+    //! Returns the number of other zones whose names sort before this router's zone; 0 if the
+    //! neighbourhood is the whole fleet.
+    std::size_t zoneRank() const;
     /*!
         Returns the neighbour to query for the content of the store, or nothing: the first one by
         name whose copy, by its hint, is no older than \a maxAge, and which has not failed to answer
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -32,6 +32,8 @@
 constexpr Duration kZoneSuspicionRepeatTime = std::chrono::milliseconds(1500);
 // Only the newest are reported; hundreds of requests may be running on a server that crashes.
 constexpr std::size_t kMaxReportedSuspicions = 256;
+// A report about a part takes about 40 bytes, and another 25 for each further crash.
+constexpr std::size_t kMaxPartReports = 128;
 constexpr std::size_t kMaxReportedPromptPrefixes = 64;
 constexpr std::size_t kMaxReportedPaces = 32;
 constexpr double kPaceUnitsPerMs = 10;
@@ -52,16 +54,25 @@
 
 } // namespace
 
-std::vector<CrashSuspicion> RouterExchange::current(Suspicions &suspicions, Duration maxAge,
-                                                    Instant now)
+// Only the router of rank 0 sends zone reports, so the lists of the others are not sent and
+// expired.
+template<typename T>
+void RouterExchange::add(Repeated<T> &items, const T &item, std::size_t maxCount)
 {
-    while (
-        !suspicions.empty()
-        && (suspicions.front().first + maxAge < now || suspicions.size() > kMaxReportedSuspicions))
-        suspicions.pop_front();
-    std::vector<CrashSuspicion> reported;
-    for (const auto &[at, suspicion] : suspicions)
-        reported.push_back(suspicion);
+    if (items.size() >= maxCount)
+        items.pop_front();
+    items.emplace_back(monotonicNow(), item);
+}
+
+template<typename T>
+std::vector<T> RouterExchange::current(Repeated<T> &items, Duration maxAge, std::size_t maxCount,
+                                       Instant now)
+{
+    while (!items.empty() && (items.front().first + maxAge < now || items.size() > maxCount))
+        items.pop_front();
+    std::vector<T> reported;
+    for (const auto &[at, item] : items)
+        reported.push_back(item);
     return reported;
 }
 
@@ -179,7 +190,12 @@
     for (const auto &suspicion : report.suspicions) {
         const bool isNew = parts_.crashSuspected(suspicion, report.router.name);
         if (isNew && report.scope == ReportScope::Router)
-            zoneSuspicions_.emplace_back(now, suspicion);
+            add(zoneSuspicions_, suspicion, kMaxReportedSuspicions);
+    }
+    for (const auto &part : report.partReports) {
+        const bool isNew = parts_.partReported(part, report.router.name);
+        if (isNew && report.scope == ReportScope::Router)
+            add(zonePartReports_, part, kMaxPartReports);
     }
 }
 
@@ -240,8 +256,15 @@
 
 void RouterExchange::noteCrashSuspicion(const CrashSuspicion &suspicion)
 {
-    suspicions_.emplace_back(monotonicNow(), suspicion);
-    zoneSuspicions_.emplace_back(monotonicNow(), suspicion);
+    add(suspicions_, suspicion, kMaxReportedSuspicions);
+    add(zoneSuspicions_, suspicion, kMaxReportedSuspicions);
+    scheduleReport();
+}
+
+void RouterExchange::notePartReport(const PartReport &report)
+{
+    add(partReports_, report, kMaxPartReports);
+    add(zonePartReports_, report, kMaxPartReports);
     scheduleReport();
 }
 
@@ -302,7 +325,8 @@
     });
     report.promptPrefixes = std::exchange(newPromptPrefixes_, {});
     report.paces = std::exchange(newPaces_, {});
-    report.suspicions = current(suspicions_, kSuspicionRepeatTime, now);
+    report.suspicions = current(suspicions_, kSuspicionRepeatTime, kMaxReportedSuspicions, now);
+    report.partReports = current(partReports_, kSuspicionRepeatTime, kMaxPartReports, now);
     sendTo(routers_.neighbours(), report);
 }
 
@@ -318,7 +342,9 @@
             sums[server->hash] += server->own;
     });
     report.loads.assign(sums.begin(), sums.end());
-    report.suspicions = current(zoneSuspicions_, kZoneSuspicionRepeatTime, now);
+    report.suspicions =
+        current(zoneSuspicions_, kZoneSuspicionRepeatTime, kMaxReportedSuspicions, now);
+    report.partReports = current(zonePartReports_, kZoneSuspicionRepeatTime, kMaxPartReports, now);
     if (now - zonePromptPrefixesSentAt_ >= kZonePromptPrefixInterval) {
         zonePromptPrefixesSentAt_ = now;
         report.promptPrefixes.assign(zonePromptPrefixes_.begin(), zonePromptPrefixes_.end());
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -48,6 +48,9 @@
         //! Called when router \a from reports that a request was running when a server crashed.
         //! Returns whether the suspicion was new.
         std::function<bool(const CrashSuspicion &, const RouterName &from)> crashSuspected;
+        //! Called when router \a from reports about a prompt part. Returns whether the report was
+        //! new.
+        std::function<bool(const PartReport &, const RouterName &from)> partReported;
     };
 
     //! Opens the ports for datagrams and queries. Fails with ListenFailed.
@@ -58,6 +61,7 @@
 
     const RouterEntry &self() const { return self_; }
     RouterDirectory &routers() { return routers_; }
+    const RouterDirectory &routers() const { return routers_; }
     const PeerLoads &loads() const { return loads_; }
 
     //! Schedules a report after a change, as soon as the report interval allows.
@@ -73,13 +77,18 @@
     //! Adds a suspicion of this router to its reports for kSuspicionRepeatTime, and to reports to
     //! other zones for kZoneSuspicionRepeatTime.
     void noteCrashSuspicion(const CrashSuspicion &suspicion);
+    //! Adds a report of this router about a prompt part, to the same reports as suspicions.
+    void notePartReport(const PartReport &report);
     //! Recomputes the servers' loads after a change of the set of servers.
     void refreshLoads();
     //! Sends the reports that are due, and expires old data. Call it several times a second.
     void tick(Instant now);
 
 private:
-    using Suspicions = std::deque<std::pair<Instant, CrashSuspicion>>;
+    template<typename T>
+    using Repeated = std::deque<std::pair<Instant, T>>;
+    using Suspicions = Repeated<CrashSuspicion>;
+    using PartReports = Repeated<PartReport>;
 
     RouterExchange(EventLoop &loop, Parts parts);
 
@@ -95,10 +104,13 @@
     void sendTo(const std::vector<RouterEntry> &routers, const LoadReport &report);
     void queryNeighbours(Instant now);
     LoadReport makeReport();
-    //! Removes the suspicions that are older than \a maxAge, and the oldest ones above
-    //! kMaxReportedSuspicions. Returns the others.
-    static std::vector<CrashSuspicion> current(Suspicions &suspicions, Duration maxAge,
-                                               Instant now);
+    template<typename T>
+    static void add(Repeated<T> &items, const T &item, std::size_t maxCount);
+    //! Removes the items that are older than \a maxAge, and the oldest ones above \a maxCount.
+    //! Returns the others.
+    template<typename T>
+    static std::vector<T> current(Repeated<T> &items, Duration maxAge, std::size_t maxCount,
+                                  Instant now);
     Duration reportInterval() const;
     void sendReport(bool isLeaving);
     void sendZoneSum(Instant now);
@@ -122,8 +134,10 @@
     std::vector<std::pair<ServerHash, std::uint32_t>> newPaces_;
     //! From all routers of the zone.
     std::set<std::pair<ServerHash, PromptPrefixHash>> zonePromptPrefixes_;
-    Suspicions suspicions_;     //!< From this router.
-    Suspicions zoneSuspicions_; //!< From all routers of the zone, for reports to other zones.
+    Suspicions suspicions_;       //!< From this router.
+    Suspicions zoneSuspicions_;   //!< From all routers of the zone, for reports to other zones.
+    PartReports partReports_;     //!< From this router.
+    PartReports zonePartReports_; //!< From all routers of the zone, for reports to other zones.
 };
 
 } // namespace crocusport
--- a/src/gateway/unansweredruns.cpp
+++ b/src/gateway/unansweredruns.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <utility>
 
 namespace crocusport {
 
@@ -15,25 +16,28 @@
 } // namespace
 
 void UnansweredRuns::add(const BackendServerName &server, StartNumber start,
-                         Fingerprint fingerprint, CrashEvidence evidence, Instant now)
+                         Fingerprint fingerprint, CrashEvidence evidence, Instant now,
+                         std::vector<Fingerprint> parts)
 {
     expire(now);
     if (runs_.size() == kMaxRuns)
         runs_.pop_front();
-    runs_.push_back({ server, start, { fingerprint, crashId(server, start), evidence }, now });
+    const auto crash = crashId(server, start);
+    runs_.push_back(
+        { server, start, { { fingerprint, crash, evidence }, crash, std::move(parts) }, now });
 }
 
-std::vector<CrashSuspicion> UnansweredRuns::take(const BackendServerName &server, StartNumber start,
-                                                 Instant now)
+std::vector<CrashedRun> UnansweredRuns::take(const BackendServerName &server, StartNumber start,
+                                             Instant now)
 {
     expire(now);
     const auto isMatching = [&](const Run &run) {
         return run.server == server && run.start == start;
     };
-    std::vector<CrashSuspicion> taken;
+    std::vector<CrashedRun> taken;
     for (const auto &run : runs_) {
         if (isMatching(run))
-            taken.push_back(run.suspicion);
+            taken.push_back(run.run);
     }
     std::erase_if(runs_, isMatching);
     return taken;
--- a/src/gateway/unansweredruns.h
+++ b/src/gateway/unansweredruns.h
@@ -6,10 +6,20 @@
 #include "crocusport/state/instant.h"
 
 #include <deque>
+#include <string>
 #include <vector>
 
 namespace crocusport {
 
+//! An attempt that was running on a backend server when the server crashed.
+struct CrashedRun
+{
+    CrashSuspicion request;
+    //! crashId() of the server's start. The crash in \a request may have a higher number.
+    std::string start;
+    std::vector<Fingerprint> parts; //!< Shared parts of the prompt.
+};
+
 /*!
     Remembers the attempts of the last seconds that were abandoned before their server had responded
     completely. If the server turns out later to have crashed, these requests were running at the
@@ -22,17 +32,16 @@
 public:
     //! Records that an attempt on the start \a start of \a server was abandoned.
     void add(const BackendServerName &server, StartNumber start, Fingerprint fingerprint,
-             CrashEvidence evidence, Instant now);
+             CrashEvidence evidence, Instant now, std::vector<Fingerprint> parts = {});
     //! Removes and returns the attempts on \a start of \a server, which has crashed.
-    std::vector<CrashSuspicion> take(const BackendServerName &server, StartNumber start,
-                                     Instant now);
+    std::vector<CrashedRun> take(const BackendServerName &server, StartNumber start, Instant now);
 
 private:
     struct Run
     {
         BackendServerName server;
         StartNumber start;
-        CrashSuspicion suspicion;
+        CrashedRun run;
         Instant at {};
     };
 
--- a/src/state/crashledger.cpp
+++ b/src/state/crashledger.cpp
@@ -69,6 +69,22 @@
     add(fingerprint, crash, now);
 }
 
+void CrashLedger::dismiss(const std::string &crash, Instant now)
+{
+    attributions_[crash] = { .fingerprint = Fingerprint(), .at = now };
+    for (auto &[fingerprint, entry] : entries_) {
+        if (entry.crashes.erase(crash) > 0 && !entry.reachesRefusalLimit())
+            entry.refusedUntil.reset();
+    }
+}
+
+void CrashLedger::addRecord(Fingerprint fingerprint, const std::vector<std::string> &crashes,
+                            Instant now)
+{
+    for (const auto &crash : crashes)
+        add(fingerprint, crash, now);
+}
+
 void CrashLedger::clear(Fingerprint fingerprint)
 {
     const auto found = entries_.find(fingerprint);
--- a/tests/gateway/testunansweredruns.cpp
+++ b/tests/gateway/testunansweredruns.cpp
@@ -16,8 +16,8 @@
     {
         const auto taken = runs.take(server, StartNumber(5), start + std::chrono::seconds(5));
         REQUIRE(taken.size() == 1);
-        REQUIRE(taken[0].fingerprint == fingerprint);
-        REQUIRE(taken[0].crash == crashId(server, StartNumber(5)));
+        REQUIRE(taken[0].request.fingerprint == fingerprint);
+        REQUIRE(taken[0].request.crash == crashId(server, StartNumber(5)));
         // Guards against a crash that is counted twice for one attempt.
         REQUIRE(runs.take(server, StartNumber(5), start).empty());
     }
--- a/tests/platform/testcrashrecords.cpp
+++ b/tests/platform/testcrashrecords.cpp
@@ -14,7 +14,8 @@
     StandInStore store(runner.loop());
     HttpClient client(runner.loop(), {});
     CrashLedger ledger;
-    CrashRecords records(client, Deployment::formats(), store.address(), ledger);
+    CrashRecords<CrashLedger> records(client, Deployment::formats(), store.address(), ledger,
+                                      "crocusport/crashes/");
     const auto settle = [&] { runner.runFor(Milliseconds(50)); };
     const auto refuse = [&] {
         ledger.add(fingerprint, "first#1", start);
--- a/tests/platform/testzonereports.cpp
+++ b/tests/platform/testzonereports.cpp
@@ -37,6 +37,10 @@
                       [this](const CrashSuspicion &suspicion, const RouterName &) {
                           heard.push_back(suspicion);
                           return true;
+                      },
+                      [this](const PartReport &report, const RouterName &) {
+                          partReports.push_back(report);
+                          return true;
                       } });
             },
             [](const Error &error) -> std::unique_ptr<RouterExchange> {
@@ -46,6 +50,7 @@
 
     std::unique_ptr<RouterExchange> exchange;
     std::vector<CrashSuspicion> heard;
+    std::vector<PartReport> partReports;
 
 private:
     GatewaySettings settings_;
