HostListClient: Follow the list despite single invalid entries

Another operator reported routers that stopped following the list of servers because of one odd entry of another writer: very deeply nested, with a number too large, or with a port out of range. crocusportd did: any invalid entry, and any element that the JSON parser refuses, made the whole list invalid for as long as the entry stayed.

Cause: the list was parsed and checked as one document, so that a part of a list could not look like all other servers having left. The entries are now split by their brackets and read one by one.

--- a/include/crocusport/protocol/hostlistcodec.h
+++ b/include/crocusport/protocol/hostlistcodec.h
@@ -11,11 +11,13 @@
 namespace crocusport {
 
 /*!
-    Reads the body of `GET /hosts` (docs/design.md section 8). Fails with MalformedMessage when any
-    entry is invalid, or a name occurs twice: part of a list would look like the other backend
-    servers having left. Safe from any thread.
+    Reads the body of `GET /hosts` (docs/design.md section 8). Leaves out invalid entries, and those
+    whose name occurs before. Fails with MalformedMessage when these are more than the others: part
+    of a list would look like the other backend servers having left. If \a faults is given, it
+    receives a message for each entry that is left out. Safe from any thread.
 */
-Result<std::vector<BackendServer>> parseHostList(std::string_view body);
+Result<std::vector<BackendServer>> parseHostList(std::string_view body,
+                                                 std::vector<std::string> *faults = nullptr);
 //! Returns what parseHostList() reads. Safe from any thread.
 std::string writeHostList(const std::vector<BackendServer> &servers);
 
--- a/include/crocusport/transport/hostlistclient.h
+++ b/include/crocusport/transport/hostlistclient.h
@@ -50,6 +50,7 @@
 private:
     void poll();
     void onEnd(const HttpCallEnd &end);
+    void noteInvalidEntries(const std::vector<std::string> &faults);
     void accept(std::vector<BackendServer> servers);
     void fail(const std::string &error);
 
@@ -58,6 +59,7 @@
     Handler onChange_;
     std::vector<BackendServer> servers_;
     std::optional<Instant> lastReceived_;
+    std::size_t invalidEntries_ = 0; //!< In the last list.
     std::string lastError_;
     std::string body_;
     Timer timer_;
--- a/src/protocol/hostlistcodec.cpp
+++ b/src/protocol/hostlistcodec.cpp
@@ -46,23 +46,49 @@
 
 } // namespace
 
-Result<std::vector<BackendServer>> parseHostList(std::string_view body)
+namespace {
+
+Result<BackendServer> parseHost(std::string_view text)
+{
+    BOOST_LEAF_AUTO(server, parseJsonDocument<BackendServer>(text, "host list"));
+    const auto fault = [&](const std::string &message) {
+        return makeError(ResultCode::MalformedMessage,
+                         "host list: " + server.name.value() + ' ' + message);
+    };
+    if (!isSocketAddressText(server.address.value()))
+        return fault("has an address that is not ip:port");
+    if (server.slots == 0 || server.slots > kMaxSlots)
+        return fault("has slots that are not within 1 to " + std::to_string(kMaxSlots));
+    return server;
+}
+
+} // namespace
+
+Result<std::vector<BackendServer>> parseHostList(std::string_view body,
+                                                 std::vector<std::string> *faults)
 {
-    BOOST_LEAF_AUTO(list, parseJsonDocument<HostList>(body, "host list"));
+    BOOST_LEAF_AUTO(entries, splitJsonArray(body, "hosts", "host list"));
+    std::vector<BackendServer> servers;
     std::unordered_set<BackendServerName> names;
-    for (const auto &server : list.hosts) {
-        const auto fault = [&](const std::string &text) {
-            return makeError(ResultCode::MalformedMessage,
-                             "host list: " + server.name.value() + ' ' + text);
-        };
-        if (server.name.value().empty() || !names.insert(server.name).second)
-            return fault("is empty or occurs twice");
-        if (!isSocketAddressText(server.address.value()))
-            return fault("has an address that is not ip:port");
-        if (server.slots == 0 || server.slots > kMaxSlots)
-            return fault("has slots that are not within 1 to " + std::to_string(kMaxSlots));
+    std::vector<std::string> found;
+    for (const auto entry : entries) {
+        handleErrors(
+            [&]() -> Result<void> {
+                BOOST_LEAF_AUTO(server, parseHost(entry));
+                if (server.name.value().empty() || !names.insert(server.name).second)
+                    return makeError(ResultCode::MalformedMessage,
+                                     "host list: " + server.name.value()
+                                         + " is empty or occurs twice");
+                servers.push_back(std::move(server));
+                return {};
+            },
+            [&](const Error &error) { found.push_back(error.message); });
     }
-    return std::move(list.hosts);
+    if (found.size() > servers.size())
+        return makeError(ResultCode::MalformedMessage, found.front());
+    if (faults)
+        *faults = std::move(found);
+    return servers;
 }
 
 std::string writeHostList(const std::vector<BackendServer> &servers)
--- a/src/protocol/jsontext.h
+++ b/src/protocol/jsontext.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace crocusport {
 
@@ -20,6 +21,15 @@
 Result<nlohmann::json> parseJsonObject(std::string_view text, const std::string &what,
                                        ResultCode code);
 
+/*!
+    Returns the texts of the elements of the array that is the member \a key of the JSON object
+    \a text. The elements may be invalid, as long as their brackets and quotes match; all other
+    members must be valid. Fails with MalformedMessage and a message that begins with \a what. Safe
+    from any thread.
+*/
+Result<std::vector<std::string_view>> splitJsonArray(std::string_view text, std::string_view key,
+                                                     const std::string &what);
+
 //! Returns \a json as text; invalid UTF-8 is replaced, never thrown. Safe from any thread.
 std::string writeJson(const nlohmann::json &json);
 
--- a/src/transport/hostlistclient.cpp
+++ b/src/transport/hostlistclient.cpp
@@ -58,7 +58,9 @@
     }
     auto servers = handleErrors(
         [&]() -> Result<std::optional<std::vector<BackendServer>>> {
-            BOOST_LEAF_AUTO(list, parseHostList(body_));
+            std::vector<std::string> faults;
+            BOOST_LEAF_AUTO(list, parseHostList(body_, &faults));
+            noteInvalidEntries(faults);
             return std::optional(std::move(list));
         },
         [&](const Error &error) {
@@ -69,6 +71,15 @@
         accept(std::move(*servers));
 }
 
+// The same entries are read with every poll, so they are logged only when they change.
+void HostListClient::noteInvalidEntries(const std::vector<std::string> &faults)
+{
+    if (faults.size() != invalidEntries_ && !faults.empty())
+        LOG(WARNING) << "event=hostlist_entries_rejected entries=" << faults.size() << " first=\""
+                     << faults.front() << '"';
+    invalidEntries_ = faults.size();
+}
+
 void HostListClient::accept(std::vector<BackendServer> servers)
 {
     if (!lastError_.empty())
