EngineCall, ServiceCall: Trust a refusal only from the request's own response

Another operator reported servers that wrote an earlier refusal once more on a kept connection, so that callers were told 'not run' for requests that ran.

crocusportd sends requests that must not be repeated on fresh connections only, so neither a false refusal nor a second run was possible for these. Repeatable requests use kept connections: there a late copy of a 503 with X-Not-Run was taken for the answer to the request in progress, which was reported as not run and retried outside of the retry budget.

Now a response that names another request (X-Request-Id) is malformed, and one that names none counts as a refusal only on a new connection; elsewhere it counts as an overloaded server, after which the request may have run. Plain services get the header as well, and the stand-ins echo it.

--- a/src/daemon/enginecall.cpp
+++ b/src/daemon/enginecall.cpp
@@ -70,6 +70,7 @@
 {
     result_.status = status;
     head_ = readResponseHead(headers);
+    owner_ = responseOwner(head_, request_.attempt, call_->isOnNewConnection());
     result_.contentType = head_.contentType;
     if (head_.isLeaving)
         result_.condition = BackendCondition::Leaving;
@@ -79,6 +80,10 @@
 {
     if (isMalformed_ || isDone_)
         return;
+    if (owner_ == ResponseOwner::Other) {
+        isMalformed_ = true;
+        return;
+    }
     if (result_.status != 200) {
         if (result_.body.size() + data.size() <= kMaxErrorBodyBytes)
             result_.body.append(data);
@@ -125,7 +130,7 @@
     }
     if (end.failure == HttpFailure::None && result_.status != 200) {
         // A failed resume means that the engine no longer has the stream.
-        finish(isResuming_ ? BackendCallEnd::Lost : endForStatus(result_.status, head_));
+        finish(isResuming_ ? BackendCallEnd::Lost : endForStatus(result_.status, head_, owner_));
         return;
     }
     const auto callEnd = endForFailure(end);
--- a/src/daemon/enginecall.h
+++ b/src/daemon/enginecall.h
@@ -52,6 +52,7 @@
     EndHandler onEnd_;
     SseReader reader_;
     ResponseHead head_;
+    ResponseOwner owner_ = ResponseOwner::Unknown;
     BackendCallResult result_;
     Instant started_;
     Instant lastToken_;
--- a/src/daemon/responsehead.cpp
+++ b/src/daemon/responsehead.cpp
@@ -21,15 +21,27 @@
             head.isNotRun = value == "1";
         else if (isHeader(name, "X-Leaving"))
             head.isLeaving = value == "1";
+        else if (isHeader(name, "X-Request-Id"))
+            head.requestId = value;
         else if (isHeader(name, "Content-Type"))
             head.contentType = value;
     }
     return head;
 }
 
-BackendCallEnd endForStatus(int status, const ResponseHead &head)
+ResponseOwner responseOwner(const ResponseHead &head, const RequestId &attempt,
+                            bool isOnNewConnection)
 {
-    if (status == 503 && head.isNotRun)
+    if (head.requestId.empty())
+        return isOnNewConnection ? ResponseOwner::Attempt : ResponseOwner::Unknown;
+    return head.requestId == attempt.value() ? ResponseOwner::Attempt : ResponseOwner::Other;
+}
+
+BackendCallEnd endForStatus(int status, const ResponseHead &head, ResponseOwner owner)
+{
+    if (owner == ResponseOwner::Other)
+        return BackendCallEnd::Malformed;
+    if (status == 503 && head.isNotRun && owner == ResponseOwner::Attempt)
         return BackendCallEnd::NotRun;
     if (status == 429 || status == 503)
         return BackendCallEnd::Overloaded;
--- a/src/daemon/servicecall.cpp
+++ b/src/daemon/servicecall.cpp
@@ -12,6 +12,7 @@
     call.method = request_.method;
     call.target = request_.target;
     call.headers = request_.headers;
+    call.headers.emplace_back("X-Request-Id", request_.attempt.value());
     call.body = std::move(request_.body);
     call.connection = request_.connection;
     call.connectTimeout = request_.connectTimeout;
@@ -27,6 +28,7 @@
 void ServiceCall::onHead(int status, const HttpHeaders &headers)
 {
     head_ = readResponseHead(headers);
+    owner_ = responseOwner(head_, request_.attempt, call_->isOnNewConnection());
     result_.status = status;
     result_.contentType = head_.contentType;
     if (head_.isLeaving)
@@ -37,7 +39,7 @@
 {
     result_.failure = end.failure;
     if (end.failure == HttpFailure::None) {
-        result_.end = endForStatus(result_.status, head_);
+        result_.end = endForStatus(result_.status, head_, owner_);
         // A plain service's 4xx is its own answer to the caller, such as "no such lot".
         if (result_.end == BackendCallEnd::Rejected)
             result_.end = BackendCallEnd::Completed;
--- a/src/daemon/servicecall.h
+++ b/src/daemon/servicecall.h
@@ -34,6 +34,7 @@
     EndHandler onEnd_;
     BackendCallResult result_;
     ResponseHead head_;
+    ResponseOwner owner_ = ResponseOwner::Unknown;
     std::unique_ptr<HttpCall> call_;
     std::unique_ptr<HealthProbe> probe_;
 };
--- a/tools/standins/guardedexchange.cpp
+++ b/tools/standins/guardedexchange.cpp
@@ -26,6 +26,8 @@
 void GuardedExchange::replyJson(int status, const nlohmann::json &body, HttpHeaders headers)
 {
     headers.emplace_back("Content-Type", "application/json");
+    if (const auto id = request().header("X-Request-Id"))
+        headers.emplace_back("X-Request-Id", *id);
     reply(status, headers, body.dump());
 }
 
