Tests: Show the gateway with odd entries and repeated refusals

The gateway reads each entry of a server for itself, with a limited depth and ranges, so that 13 odd entries neither end it nor stop it from following the list, whether they arrive while it runs or are there when it starts. A refusal that is sent once more on a kept connection names its own request and is dropped; the next answer is the request's own. Both hold without a change of the code.

--- /dev/null
+++ b/tests/platform/testoddentries.cpp
@@ -0,0 +1,67 @@
+#include "deployment.h"
+
+#include "../transport/rawclient.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace crocusport;
+
+namespace {
+
+constexpr std::size_t kDeepNesting = 200'000;
+
+std::string entryWith(const std::string &fields)
+{
+    return R"({"service":"pool","zone":"zone-1","slots":4,"state":"ready","born":1,"seq":1,)"
+           R"("address":"127.0.0.1:9",)"
+        + fields + "}";
+}
+
+} // namespace
+
+// Guards against one unreadable entry that ends the routers or stops them from following the list.
+SCENARIO("Another writer leaves an odd entry among those of the servers")
+{
+    const auto odd = GENERATE(
+        as<std::string> {}, "", "\xff\xfe\x01", std::string(kDeepNesting, '['),
+        entryWith(R"("note":)" + std::string(kDeepNesting, '[') + std::string(kDeepNesting, ']')),
+        entryWith(R"("slots":1e999)"), entryWith(R"("slots":99999999999999999999999)"),
+        entryWith(R"("slots":-1)"), entryWith(R"("coldRemainingMs":9223372036854775807)"),
+        entryWith(R"("seq":18446744073709551616)"), entryWith(R"("born":"yesterday")"),
+        entryWith(R"("address":"127.0.0.1:70000")"), entryWith(R"("address":"127.0.0.1:-1")"),
+        entryWith(R"("state":"resting")"));
+    CAPTURE(odd.substr(0, 120));
+    LoopRunner runner;
+    Deployment deployment(runner);
+    const auto isServedBy = [&](const StandInServer &server) {
+        const auto before = server.requests.size();
+        RawClient client(runner.loop(), deployment.gateway->callersAddress());
+        client.send(Deployment::request("safe"));
+        return runner.runUntil([&] { return client.received().size() > 12; })
+            && client.received().substr(9, 3) == "200" && server.requests.size() == before + 1;
+    };
+    const auto followsChanges = [&] {
+        deployment.registerServer(deployment.second);
+        deployment.store.erase("servers/first");
+        deployment.settle();
+        return isServedBy(deployment.second);
+    };
+
+    WHEN("routers are running")
+    {
+        REQUIRE(deployment.serve());
+        deployment.store.put("servers/odd", odd);
+        deployment.settle();
+        REQUIRE(isServedBy(deployment.first));
+        REQUIRE(followsChanges());
+    }
+    WHEN("a router starts")
+    {
+        deployment.store.put("servers/odd", odd);
+        deployment.store.put("servers/", odd);
+        REQUIRE(deployment.serve());
+        REQUIRE(followsChanges());
+    }
+}
--- a/tests/platform/testsecondanswers.cpp
+++ b/tests/platform/testsecondanswers.cpp
@@ -74,6 +74,20 @@
             REQUIRE(server.connectionCount() == 2);
         }
     }
+    // Guards against reporting a request as not run because of the refusal of an earlier one.
+    WHEN("the duplicate is an earlier refusal")
+    {
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: id-1\r\n"
+                                    "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        server.sendToAll(refusal);
+        runner.runFor(Milliseconds(20));
+        REQUIRE(server.requestCount() == 2);
+        server.sendToAll(answerTo("id-2", "own2"));
+        REQUIRE(isAnswered(2));
+        REQUIRE(second().status == 200);
+        REQUIRE(second().body == "own2");
+        REQUIRE(server.requestCount() == 2);
+    }
     WHEN("the duplicate arrives in single bytes")
     {
         for (const char byte : answerTo("id-1", "own1") + answerTo("id-2", "own2")) {
