PartCrashLedger: Count each crash of a server that came back

While the store is out, a server that crashes and comes back keeps the start number that routers know, so its later crashes were taken for the first one. Crashes are now counted with the number that requests have had before.

Reports about parts cross zones.

--- a/include/crocusport/state/crashledger.h
+++ b/include/crocusport/state/crashledger.h
@@ -63,8 +63,8 @@
     //! Counts \a crash for the crash suspect \a fingerprint. Later reports of \a crash for other
     //! fingerprints do not count.
     void attribute(Fingerprint fingerprint, const std::string &crash, Instant now);
-    //! Clears \a crash, number 1 of its server and start, for all fingerprints, since its cause is
-    //! known to be another one. Later reports of \a crash do not count.
+    //! Clears \a crash for all fingerprints, since its cause is known to be another one. Later
+    //! reports of \a crash do not count.
     void dismiss(const std::string &crash, Instant now);
     //! Merges the crashes of a record for \a fingerprint.
     void addRecord(Fingerprint fingerprint, const std::vector<std::string> &crashes, Instant now);
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -605,11 +605,8 @@
 void ForwardedRequest::noteCrash(Instant now)
 {
     const auto number = server_->noteCrash(now - account_.attemptTime(now), now);
-    const auto &entry = server_->entry;
-    services_.crashSuspected(
-        { { fingerprint_, crashId(entry.name, entry.start, number), crashEvidence() },
-          crashId(entry.name, entry.start),
-          sharedParts_ });
+    const auto crash = crashId(server_->entry.name, server_->entry.start, number);
+    services_.crashSuspected({ { fingerprint_, crash, crashEvidence() }, sharedParts_ });
 }
 
 // The client calls onReady, which sets isSendConfirmed_, only for new connections.
@@ -621,9 +618,9 @@
 void ForwardedRequest::noteUnanswered(Instant now)
 {
     const auto &entry = server_->entry;
-    const auto crash = crashId(entry.name, entry.start);
     if (server_->hasCrashed())
-        services_.crashSuspected({ { fingerprint_, crash, crashEvidence() }, crash, sharedParts_ });
+        services_.crashSuspected(
+            { { fingerprint_, crashId(entry.name, entry.start), crashEvidence() }, sharedParts_ });
     else
         services_.unanswered.add(entry.name, entry.start, fingerprint_, crashEvidence(), now,
                                  sharedParts_);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -396,7 +396,7 @@
     if (run.request.evidence != CrashEvidence::BeforeAnswer)
         return;
     for (const auto part : run.parts) {
-        const PartReport report { PartVerdict::Suspected, part, { run.start }, 0 };
+        const PartReport report { PartVerdict::Suspected, part, { run.request.crash }, 0 };
         if (takePartReport(report, settings_.router))
             exchange_->notePartReport(report);
     }
@@ -620,8 +620,6 @@
         prefixes_.expire(now);
         crashes_.expire(now);
         parts_.expire(now);
-        for (const auto part : parts_.refuseSuspects(now))
-            announceRefusedPart(part);
         // For routers that have just started, or that have missed the reports.
         for (const auto &refusal : parts_.nextRefusals(kMaxReminders))
             exchange_->notePartReport(refusal);
--- a/src/gateway/partcrashledger.cpp
+++ b/src/gateway/partcrashledger.cpp
@@ -142,19 +142,6 @@
     return effect;
 }
 
-std::vector<Fingerprint> PartCrashLedger::refuseSuspects(Instant now)
-{
-    std::vector<Fingerprint> refused;
-    for (auto &[part, entry] : entries_) {
-        if (entry.isRefused || !causesCrashes(part, entry, now))
-            continue;
-        Effect effect;
-        setRefused(part, entry, now, effect);
-        refused.push_back(part);
-    }
-    return refused;
-}
-
 // Requests that run beside the cause when it crashes a server share some of its crashes. A crash
 // does not count if a refused part explains it and has further crashes, and none counts if another
 // suspect has all of them and more.
--- a/src/gateway/partcrashledger.h
+++ b/src/gateway/partcrashledger.h
@@ -81,9 +81,6 @@
     {
         refuse(part, crashes, now);
     }
-    //! Refuses the suspects that reach the limit by now, for example because another suspect was
-    //! cleared, and returns them. Linear.
-    std::vector<Fingerprint> refuseSuspects(Instant now);
     //! Records that a server answers a request with \a part. Returns the crashes of which this
     //! clears the part.
     std::vector<std::string> noteAnswered(Fingerprint part, Instant now);
--- a/src/gateway/unansweredruns.cpp
+++ b/src/gateway/unansweredruns.cpp
@@ -22,9 +22,10 @@
     expire(now);
     if (runs_.size() == kMaxRuns)
         runs_.pop_front();
-    const auto crash = crashId(server, start);
-    runs_.push_back(
-        { server, start, { { fingerprint, crash, evidence }, crash, std::move(parts) }, now });
+    runs_.push_back({ server,
+                      start,
+                      { { fingerprint, crashId(server, start), evidence }, std::move(parts) },
+                      now });
 }
 
 std::vector<CrashedRun> UnansweredRuns::take(const BackendServerName &server, StartNumber start,
--- a/src/gateway/unansweredruns.h
+++ b/src/gateway/unansweredruns.h
@@ -6,7 +6,6 @@
 #include "crocusport/state/instant.h"
 
 #include <deque>
-#include <string>
 #include <vector>
 
 namespace crocusport {
@@ -15,8 +14,6 @@
 struct CrashedRun
 {
     CrashSuspicion request;
-    //! crashId() of the server's start. The crash in \a request may have a higher number.
-    std::string start;
     std::vector<Fingerprint> parts; //!< Shared parts of the prompt.
 };
 
--- a/tests/platform/testzonereports.cpp
+++ b/tests/platform/testzonereports.cpp
@@ -94,6 +94,17 @@
     REQUIRE(runner.runUntil([&] { return !farFirst.heard.empty() && !farSecond.heard.empty(); }));
     REQUIRE(farFirst.heard[0].fingerprint == Fingerprint(7));
     REQUIRE(farSecond.heard[0].crash == "engine-1#5");
+    nearSecond.exchange->notePartReport(
+        { PartVerdict::Refused, Fingerprint(9), { "engine-1#5", "engine-2#6" }, 0 });
+    nearSecond.exchange->notePartReport({ PartVerdict::Tried, Fingerprint(9), {}, 2 });
+    REQUIRE(runner.runUntil(
+        [&] { return farFirst.partReports.size() > 1 && farSecond.partReports.size() > 1; }));
+    REQUIRE(farSecond.partReports[0].verdict == PartVerdict::Refused);
+    REQUIRE(farSecond.partReports[0].part == Fingerprint(9));
+    REQUIRE(farSecond.partReports[0].crashes
+            == std::vector<std::string> { "engine-1#5", "engine-2#6" });
+    REQUIRE(farSecond.partReports[1].verdict == PartVerdict::Tried);
+    REQUIRE(farSecond.partReports[1].trials == 2);
     // Guards against zones that send each other the same report endlessly.
     runner.runFor(std::chrono::seconds(2));
     const auto count = nearFirst.heard.size() + farFirst.heard.size() + farSecond.heard.size();
