--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace crocusport {
@@ -50,6 +51,10 @@
 // Prefill of shorter shared parts costs less than a report of them to other routers.
 constexpr std::uint32_t kReportedPartTokens = 200;
 constexpr double kMsPerSecond = 1000;
+// Prompts have few shared parts; longer lists are truncated in log lines.
+constexpr std::size_t kMaxLoggedParts = 8;
+// Crashes are attributed to the first shared parts of a prompt only.
+constexpr std::size_t kMaxSuspectedParts = 64;
 // Highest urgency value that backend servers accept.
 constexpr int kMaxUrgency = 9;
 
@@ -61,6 +66,16 @@
     return { { "Retry-After", std::to_string(ms / 1000) + '.' + fraction } };
 }
 
+//! Returns the ids of the shared parts of a prompt for log lines, in hexadecimal.
+std::string sharedPartsText(const std::vector<PromptPart> &parts)
+{
+    std::ostringstream text;
+    text << std::hex;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < kMaxLoggedParts; ++i)
+        text << (i > 0 ? "," : "") << parts[i].id;
+    return text.str();
+}
+
 //! Whether callers conclude from \a status that the request has not run.
 bool meansNotRun(int status)
 {
@@ -199,6 +214,8 @@
     const auto &caller = team_.value();
     hash = XXH64(caller.data(), caller.size(), hash);
     fingerprint_ = Fingerprint(XXH64(exchange_->body().data(), exchange_->body().size(), hash));
+    for (std::size_t i = 0; i + 1 < work_.parts.size() && i < kMaxSuspectedParts; ++i)
+        sharedParts_.push_back(partFingerprint(work_.parts[i].id));
 }
 
 // The current configuration may no longer contain the route or the key of a waiting request.
@@ -216,7 +233,22 @@
 // while running the same request.
 bool ForwardedRequest::isCrashCause() const
 {
-    return services_.crashes.refusedUntil(fingerprint_, monotonicNow()).has_value();
+    return services_.crashes.refusedUntil(fingerprint_, monotonicNow()).has_value()
+        || (!isTrial_ && hasRefusedPart());
+}
+
+bool ForwardedRequest::hasRefusedPart() const
+{
+    return services_.parts.refusedUntil(sharedParts_, monotonicNow()).has_value();
+}
+
+Duration ForwardedRequest::retryAfterCrashes() const
+{
+    const auto now = monotonicNow();
+    const auto trial = services_.parts.refusedUntil(sharedParts_, now);
+    if (!trial || services_.crashes.refusedUntil(fingerprint_, now))
+        return kRetryAfterCrashes;
+    return std::clamp<Duration>(*trial - now, kRetryAfterUnready, kRetryAfterCrashes);
 }
 
 void ForwardedRequest::place()
@@ -231,6 +263,7 @@
         finishFault(ResultCode::NotConfigured);
         return true;
     }
+    isTrial_ = hasRefusedPart() && services_.isTrialDue(sharedParts_);
     if (isCrashCause()) {
         finishFault(ResultCode::SuspectedCrashCause);
         return true;
@@ -241,6 +274,8 @@
                                                   excluded_, monotonicNow());
     if (!choice.server)
         return false;
+    if (isTrial_)
+        services_.trialStarted(sharedParts_);
     startAttempt(choice);
     return true;
 }
@@ -457,8 +492,10 @@
     const bool isFirst = account_.noteEvents(batch.count, now);
     call_->reportProgress(std::min(services_.silence.limit(route_, account_.longestPause()),
                                    std::max(deadline_ - now, Duration(Milliseconds(1)))));
-    if (isFirst)
+    if (isFirst) {
         services_.silence.noteBegin(route_.name, account_.attemptTime(now));
+        services_.partsAnswered(sharedParts_);
+    }
     if (load_.prefillTokens > 0) {
         // The first event shows that the server has finished the prefill of the prompt.
         ServerLoad read;
@@ -526,6 +563,8 @@
     // A faulty server may respond with an error without having run the request.
     if (answer_->status >= kOk && answer_->status < kMultipleChoices)
         services_.crashes.noteCompleted(fingerprint_, now);
+    if (!isStream_ && answer_->status >= kOk && answer_->status < kMultipleChoices)
+        services_.partsAnswered(sharedParts_);
     const auto time = account_.attemptTime(now);
     server_->noteRun(time);
     if (!isStream_) {
@@ -566,9 +605,8 @@
 void ForwardedRequest::noteCrash(Instant now)
 {
     const auto number = server_->noteCrash(now - account_.attemptTime(now), now);
-    services_.crashSuspected({ fingerprint_,
-                               crashId(server_->entry.name, server_->entry.start, number),
-                               crashEvidence() });
+    const auto crash = crashId(server_->entry.name, server_->entry.start, number);
+    services_.crashSuspected({ { fingerprint_, crash, crashEvidence() }, sharedParts_ });
 }
 
 // The client calls onReady, which sets isSendConfirmed_, only for new connections.
@@ -582,9 +620,10 @@
     const auto &entry = server_->entry;
     if (server_->hasCrashed())
         services_.crashSuspected(
-            { fingerprint_, crashId(entry.name, entry.start), crashEvidence() });
+            { { fingerprint_, crashId(entry.name, entry.start), crashEvidence() }, sharedParts_ });
     else
-        services_.unanswered.add(entry.name, entry.start, fingerprint_, crashEvidence(), now);
+        services_.unanswered.add(entry.name, entry.start, fingerprint_, crashEvidence(), now,
+                                 sharedParts_);
 }
 
 CrashEvidence ForwardedRequest::crashEvidence() const
@@ -690,7 +729,7 @@
         const auto pause = services_.selector.pause(pool_, monotonicNow());
         const bool isCrashCause = code == ResultCode::SuspectedCrashCause;
         refuse(kUnavailable, code,
-               isCrashCause ? kRetryAfterCrashes : std::max<Duration>(kRetryAfterUnready, pause));
+               isCrashCause ? retryAfterCrashes() : std::max<Duration>(kRetryAfterUnready, pause));
         return;
     }
     const int status = code == ResultCode::DeadlinePassed ? kGatewayTimeout : kBadGateway;
@@ -757,6 +796,7 @@
         .add("unsent", unsentAttempts_)
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("fingerprint", fingerprint_.value())
+        .add("parts", sharedPartsText(work_.parts))
         .add("prompt", work_.promptTokens)
         .add("ended_by_close", isEndedByClose_)
         .add("late", latenessName(lateness))
@@ -779,12 +819,14 @@
     LogLine line(event);
     line.add("id", request_.id)
         .add("fingerprint", fingerprint_.value())
+        .add("parts", sharedPartsText(work_.parts))
         .add("code", static_cast<int>(code))
         .add("failure", httpFailureName(lastFailure_))
         .add("server", excluded_.empty() ? "" : excluded_.back().value())
         .add("status", answer_ ? answer_->status : 0)
         .add("attempts", sentAttempts_)
         .add("events", account_.events())
+        .add("attempt_events", account_.attemptEvents())
         .add(
             "after_ms",
             std::chrono::duration_cast<Milliseconds>(account_.attemptTime(monotonicNow())).count());
