PartCrashLedger: Drop refusals that rest on cleared crashes

Found by reading: a router that had not received the answer of others could make them refuse a sound part, as soon as one crash of its refusal was not cleared with them; and a refused part that was cleared of all crashes but the last stayed refused. Both would refuse a route for some hundred ms on a large fleet, where reports of answers overtake each other.

Both cases are in testpartcrashledger.cpp and were red before.

--- a/src/gateway/partcrashledger.cpp
+++ b/src/gateway/partcrashledger.cpp
@@ -129,14 +129,17 @@
     const auto answered = answeredAt(part);
     if (!refused || (answered && now < *answered + kAnsweredProtection))
         return effect;
+    bool isOutdated = false; // The other router does not know of an answer that clears the part.
     for (const auto &crash : crashes) {
-        if (refused->isCleared(crash) || refused->crashes.size() >= kMaxCrashes)
-            continue;
-        effect.isNew = refused->crashes.try_emplace(crash, now).second || effect.isNew;
+        const bool isCleared = refused->isCleared(crash);
+        isOutdated = isOutdated || isCleared;
+        if (!isCleared && refused->crashes.size() < kMaxCrashes)
+            effect.isNew = refused->crashes.try_emplace(crash, now).second || effect.isNew;
     }
     if (effect.isNew || refused->changedAt == Instant())
         refused->changedAt = now;
-    if (!refused->crashes.empty() && !refused->isRefused)
+    if (!refused->isRefused && !refused->crashes.empty()
+        && (!isOutdated || causesCrashes(part, *refused, now)))
         setRefused(part, *refused, now, effect);
     effect.isNew = effect.isNew || effect.isNewlyRefused;
     return effect;
@@ -211,7 +214,7 @@
     cleared->wasAnswered = true;
     cleared->changedAt = now;
     rememberAnswered(part, now);
-    cleared->isRefused = cleared->isRefused && !cleared->crashes.empty();
+    cleared->isRefused = cleared->isRefused && cleared->crashes.size() >= kCrashesToRefuse;
     return true;
 }
 
--- a/src/gateway/partcrashledger.h
+++ b/src/gateway/partcrashledger.h
@@ -73,7 +73,8 @@
     Effect suspect(Fingerprint part, const std::string &crash, Instant now);
     /*!
         Adopts the decision of another router or of a record in the store that \a part causes
-        \a crashes. Ignored if all of them were cleared, or if a server has just answered the part.
+        \a crashes. If the part was cleared of some of them, the others only add to its crashes.
+        Ignored if a server has just answered the part.
     */
     Effect refuse(Fingerprint part, const std::vector<std::string> &crashes, Instant now);
     //! Like refuse(), for a record in the store.
--- a/tests/gateway/testpartcrashledger.cpp
+++ b/tests/gateway/testpartcrashledger.cpp
@@ -144,6 +144,28 @@
     }
 }
 
+// Guards against a refusal that rests on crashes of which the part was cleared elsewhere.
+SCENARIO("Routers have received different reports about a part")
+{
+    PartCrashLedger ledger;
+    ledger.suspect(kCommon, crash(1), at(0));
+    ledger.suspect(kCommon, crash(2), at(1000));
+    WHEN("one that does not know of an answer refuses the part")
+    {
+        ledger.noteAnswered(kCommon, at(1100));
+        ledger.refuse(kCommon, { crash(1), crash(2), crash(3) }, at(5000));
+        REQUIRE_FALSE(isRefused(ledger, { kCommon }));
+        REQUIRE(ledger.clearedOf(kCommon, { crash(1), crash(3) }).size() == 1);
+    }
+    WHEN("an answer clears a refused part of all crashes but the last")
+    {
+        ledger.suspect(kCommon, crash(3), at(2000));
+        REQUIRE(isRefused(ledger, { kCommon }));
+        ledger.clear(kCommon, { crash(1), crash(2) }, at(2100));
+        REQUIRE_FALSE(isRefused(ledger, { kCommon }));
+    }
+}
+
 // Guards against routers that differ for good because reports arrived late, twice or reordered.
 TEST_CASE("Routers agree whatever the order of the reports about parts")
 {
