RouterExchange: Bound the reports about prompt parts in a datagram

Cause: the sums of a zone carried up to 128 reports about parts, 5.7 kB, three times a second; the router that relays the sums of two zones to 28 neighbours sent 8 Mbit/s of them on a link of 10. The calls that suffered were at the routers that relay, and their closes reached the servers half a second late.

A datagram now carries at most 16 reports, or 8 to another zone: refusals and trials first, then parts with more than one crash, then the newest. Suspicions name all crashes of their part. Four reminders a second instead of eight.

testzonereports.cpp shows the bound.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,7 +50,7 @@
 constexpr Duration kTrialZoneDelay = std::chrono::milliseconds(1500);
 constexpr Duration kMaxTrialDelay = std::chrono::seconds(10);
 // Maximum number of refused parts of which routers remind each other per housekeeping interval.
-constexpr std::size_t kMaxReminders = 8;
+constexpr std::size_t kMaxReminders = 4;
 // Limits callers' connections, so that file descriptors remain for other connections.
 constexpr std::size_t kMaxCallers = 2500;
 
@@ -398,7 +398,7 @@
     for (const auto part : run.parts) {
         const PartReport report { PartVerdict::Suspected, part, { run.request.crash }, 0 };
         if (takePartReport(report, settings_.router))
-            exchange_->notePartReport(report);
+            exchange_->notePartReport({ PartVerdict::Suspected, part, parts_.crashes(part), 0 });
     }
 }
 
--- a/src/gateway/partcrashledger.cpp
+++ b/src/gateway/partcrashledger.cpp
@@ -16,8 +16,9 @@
 constexpr std::size_t kCrashesToRefuse = 3;
 // Crashes that become known within this time may have one external cause, such as a power failure.
 constexpr Duration kMinSpread = std::chrono::milliseconds(200);
-// Reports of crashes may arrive this long before the reports that clear the part of them.
-constexpr Duration kAnsweredProtection = std::chrono::milliseconds(1500);
+// Reports of crashes may arrive this long before the reports that clear the part of them. When many
+// servers crash at once, routers detect the crashes within some seconds.
+constexpr Duration kAnsweredProtection = std::chrono::seconds(4);
 // Time from the refusal to the first trial; it is multiplied by kTrialFactor with each trial. A
 // part that was answered before is probably not the cause of the crashes, so it is tried soon.
 constexpr Duration kHoldTime = std::chrono::seconds(30);
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -32,8 +32,12 @@
 constexpr Duration kZoneSuspicionRepeatTime = std::chrono::milliseconds(1500);
 // Only the newest are reported; hundreds of requests may be running on a server that crashes.
 constexpr std::size_t kMaxReportedSuspicions = 256;
-// A report about a part takes about 40 bytes, and another 25 for each further crash.
+// Reports about parts that wait to be sent.
 constexpr std::size_t kMaxPartReports = 128;
+// Reports about parts in one datagram; each takes about 40 bytes, and another 25 for each further
+// crash. Relaying the sums of other zones takes most of a link of 10 Mbit/s.
+constexpr std::size_t kMaxPartReportsToRouter = 16;
+constexpr std::size_t kMaxPartReportsToZone = 8;
 constexpr std::size_t kMaxReportedPromptPrefixes = 64;
 constexpr std::size_t kMaxReportedPaces = 32;
 constexpr double kPaceUnitsPerMs = 10;
@@ -76,6 +80,26 @@
     return reported;
 }
 
+// A part with one crash may be the cause, but many such parts are reported when many servers crash.
+int RouterExchange::importance(const PartReport &report)
+{
+    constexpr int kDecided = 2;
+    if (report.verdict == PartVerdict::Refused || report.verdict == PartVerdict::Tried)
+        return kDecided;
+    return report.crashes.size() > 1 ? 1 : 0;
+}
+
+std::vector<PartReport> RouterExchange::mostImportant(std::vector<PartReport> reports,
+                                                      std::size_t count)
+{
+    std::reverse(reports.begin(), reports.end()); // The newest first.
+    std::stable_sort(reports.begin(), reports.end(), [](const auto &left, const auto &right) {
+        return importance(left) > importance(right);
+    });
+    reports.resize(std::min(reports.size(), count));
+    return reports;
+}
+
 Result<std::unique_ptr<RouterExchange>> RouterExchange::create(EventLoop &loop, Parts parts)
 {
     std::unique_ptr<RouterExchange> exchange(new RouterExchange(loop, std::move(parts)));
@@ -326,7 +350,8 @@
     report.promptPrefixes = std::exchange(newPromptPrefixes_, {});
     report.paces = std::exchange(newPaces_, {});
     report.suspicions = current(suspicions_, kSuspicionRepeatTime, kMaxReportedSuspicions, now);
-    report.partReports = current(partReports_, kSuspicionRepeatTime, kMaxPartReports, now);
+    report.partReports = mostImportant(
+        current(partReports_, kSuspicionRepeatTime, kMaxPartReports, now), kMaxPartReportsToRouter);
     sendTo(routers_.neighbours(), report);
 }
 
@@ -344,7 +369,9 @@
     report.loads.assign(sums.begin(), sums.end());
     report.suspicions =
         current(zoneSuspicions_, kZoneSuspicionRepeatTime, kMaxReportedSuspicions, now);
-    report.partReports = current(zonePartReports_, kZoneSuspicionRepeatTime, kMaxPartReports, now);
+    report.partReports =
+        mostImportant(current(zonePartReports_, kZoneSuspicionRepeatTime, kMaxPartReports, now),
+                      kMaxPartReportsToZone);
     if (now - zonePromptPrefixesSentAt_ >= kZonePromptPrefixInterval) {
         zonePromptPrefixesSentAt_ = now;
         report.promptPrefixes.assign(zonePromptPrefixes_.begin(), zonePromptPrefixes_.end());
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -111,6 +111,9 @@
     template<typename T>
     static std::vector<T> current(Repeated<T> &items, Duration maxAge, std::size_t maxCount,
                                   Instant now);
+    static int importance(const PartReport &report);
+    static std::vector<PartReport> mostImportant(std::vector<PartReport> reports,
+                                                 std::size_t count);
     Duration reportInterval() const;
     void sendReport(bool isLeaving);
     void sendZoneSum(Instant now);
--- a/tests/platform/testzonereports.cpp
+++ b/tests/platform/testzonereports.cpp
@@ -111,3 +111,32 @@
     runner.runFor(std::chrono::seconds(1));
     REQUIRE(nearFirst.heard.size() + farFirst.heard.size() + farSecond.heard.size() == count);
 }
+
+// Guards against reports that saturate the link of the router that relays them when many servers
+// crash at once, so that callers' closes reach backend servers too late.
+SCENARIO("Many prompt parts are suspected at once")
+{
+    constexpr std::size_t kMaxReportsToZone = 8;
+    constexpr std::uint64_t kParts = 120;
+    LoopRunner runner;
+    Peer near(runner, "a-1", "zone-a");
+    Peer far(runner, "b-1", "zone-b");
+    for (auto *const peer : { &near, &far }) {
+        auto &routers = peer->exchange->routers();
+        for (auto *const other : { &near, &far })
+            routers.noteMessage(other->exchange->self(), std::nullopt, uptime());
+        for (int i = 0; i < 20; ++i)
+            routers.noteMention({ RouterName("z-" + std::to_string(i)),
+                                  SocketAddress("127.0.0.1:9"), AvailabilityZone("zone-z") },
+                                uptime());
+    }
+    near.exchange->notePartReport({ PartVerdict::Refused, Fingerprint(9), { "engine-1#5" }, 0 });
+    for (std::uint64_t part = 1; part <= kParts; ++part)
+        near.exchange->notePartReport(
+            { PartVerdict::Suspected, Fingerprint(100 + part), { "engine-2#5" }, 0 });
+    Timer ticks(runner.loop(), [&] { near.exchange->tick(monotonicNow()); });
+    ticks.startPeriodic(Milliseconds(20));
+    REQUIRE(runner.runUntil([&] { return !far.partReports.empty(); }));
+    REQUIRE(far.partReports.size() <= kMaxReportsToZone);
+    REQUIRE(far.partReports[0].verdict == PartVerdict::Refused);
+}
