PartCrashLedger: Try a refused part soon at a router that has seen no answer

Two causes and other crashes ended servers before any prompt had been answered, so that the part that all prompts share was in all crashes and was refused for 30 s everywhere.

A router that has seen no answer to any part for ten seconds now tries a refused part after 2 s, and only with a request in which no other suspect could make the trial fail. An answer clears the part at all routers.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -488,7 +488,7 @@
 {
     const auto now = monotonicNow();
     const auto until = parts_.refusedUntil(parts, now);
-    if (!until)
+    if (!until || !parts_.isTrialMeaningful(parts))
         return false;
     const auto &routers = exchange_->routers();
     const auto delay = kTrialRankDelay * static_cast<int>(routers.rank(uptime()))
--- a/src/gateway/partcrashledger.cpp
+++ b/src/gateway/partcrashledger.cpp
@@ -23,6 +23,10 @@
 // part that was answered before is probably not the cause of the crashes, so it is tried soon.
 constexpr Duration kHoldTime = std::chrono::seconds(30);
 constexpr Duration kHoldTimeAfterAnswer = std::chrono::seconds(3);
+// The first hold of a router that has seen no answer to any part for kColdTime: at a cold start, a
+// sound part of all prompts can be in the first crashes before its first answer.
+constexpr Duration kColdHoldTime = std::chrono::seconds(2);
+constexpr Duration kColdTime = std::chrono::seconds(10);
 constexpr int kTrialFactor = 4;
 constexpr Duration kMaxHoldTime = std::chrono::minutes(10);
 constexpr Duration kSuspicionLifetime = std::chrono::minutes(1);
@@ -174,14 +178,17 @@
 {
     entry.isRefused = true;
     entry.trials = 0;
-    entry.nextTrialAt = now + holdTime(part, entry);
+    entry.nextTrialAt = now + holdTime(part, entry, now);
     effect.isNewlyRefused = true;
     for (const auto &[crash, learntAt] : entry.crashes)
         effect.attributed.push_back(crash);
 }
 
-Duration PartCrashLedger::holdTime(Fingerprint part, const Entry &entry) const
+Duration PartCrashLedger::holdTime(Fingerprint part, const Entry &entry, Instant now) const
 {
+    const bool isCold = !lastAnswerAt_ || now >= *lastAnswerAt_ + kColdTime;
+    if (entry.trials == 0 && isCold)
+        return kColdHoldTime;
     Duration hold = entry.wasAnswered || answeredAt(part) ? kHoldTimeAfterAnswer : kHoldTime;
     for (int trial = 0; trial < entry.trials && hold < kMaxHoldTime; ++trial)
         hold *= kTrialFactor;
@@ -191,6 +198,7 @@
 std::vector<std::string> PartCrashLedger::noteAnswered(Fingerprint part, Instant now)
 {
     rememberAnswered(part, now);
+    lastAnswerAt_ = now;
     auto known = crashes(part);
     if (!known.empty())
         clear(part, known, now);
@@ -272,6 +280,14 @@
     });
 }
 
+bool PartCrashLedger::isTrialMeaningful(const std::vector<Fingerprint> &parts) const
+{
+    return std::all_of(parts.begin(), parts.end(), [&](Fingerprint part) {
+        const auto *const known = find(part);
+        return !known || known->isRefused || known->crashes.empty();
+    });
+}
+
 std::vector<PartReport> PartCrashLedger::startTrial(const std::vector<Fingerprint> &parts,
                                                     Instant now)
 {
@@ -291,7 +307,7 @@
     if (found == entries_.end() || !found->second.isRefused || trials <= found->second.trials)
         return false;
     found->second.trials = trials;
-    found->second.nextTrialAt = now + holdTime(part, found->second);
+    found->second.nextTrialAt = now + holdTime(part, found->second, now);
     return true;
 }
 
--- a/src/gateway/partcrashledger.h
+++ b/src/gateway/partcrashledger.h
@@ -99,6 +99,8 @@
     //! Returns the earliest time of a trial of a request with \a parts; nothing if such requests
     //! are not refused.
     std::optional<Instant> refusedUntil(const std::vector<Fingerprint> &parts, Instant now) const;
+    //! Whether a request with \a parts may serve as a trial: no other suspect could make it fail.
+    bool isTrialMeaningful(const std::vector<Fingerprint> &parts) const;
     //! Records that a request with \a parts is sent as a trial. Returns the reports of this.
     std::vector<PartReport> startTrial(const std::vector<Fingerprint> &parts, Instant now);
     //! Records that another router has started trial number \a trials. Returns whether it was new.
@@ -149,10 +151,11 @@
     std::optional<Instant> answeredAt(Fingerprint part) const;
     void rememberAnswered(Fingerprint part, Instant now);
     void setRefused(Fingerprint part, Entry &entry, Instant now, Effect &effect);
-    Duration holdTime(Fingerprint part, const Entry &entry) const;
+    Duration holdTime(Fingerprint part, const Entry &entry, Instant now) const;
 
     std::map<Fingerprint, Entry> entries_;
     std::vector<Answered> answered_;
+    std::optional<Instant> lastAnswerAt_; //!< Of any part.
     Fingerprint lastReported_;
 };
 
