Review case 3: A trial that cannot be sent keeps the part of all prompts refused

Shown: all gateways have just started again when requests that crash workers come. The part that all prompts share is refused, and no request is served, with all workers sound again. Cases 3 and 4 become 4 and 5.

Cause: ForwardedRequest::tryPlace() counts a trial of a refused part before anything is sent. With the workers still down it ends without a connection, and holdTime() makes the next one due 120 s later.

--- a/review/standins/trial.cc
+++ b/review/standins/trial.cc
@@ -26,6 +26,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -219,36 +220,63 @@
 class Listener
 {
 public:
-    explicit Listener(std::function<void(Channel &)> serve) : serve_(std::move(serve))
+    explicit Listener(std::function<void(Channel &)> serve) : serve_(std::move(serve)) { open(); }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+    // Closes all channels, and takes no new ones until open().
+    void crash()
+    {
+        const std::lock_guard lock(mutex_);
+        shutdown(socket_, SHUT_RDWR);
+        close(std::exchange(socket_, -1));
+        for (const int channel : channels_)
+            shutdown(channel, SHUT_RDWR);
+    }
+    void open()
     {
-        socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        auto address = addressOf("127.0.0.1", 0);
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        auto address = addressOf("127.0.0.1", port);
         socklen_t size = sizeof(address);
-        if (bind(socket_, reinterpret_cast<sockaddr *>(&address), size) != 0
-            || listen(socket_, 1024) != 0
-            || getsockname(socket_, reinterpret_cast<sockaddr *>(&address), &size) != 0)
+        if (bind(socket, reinterpret_cast<sockaddr *>(&address), size) != 0
+            || listen(socket, 1024) != 0
+            || getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size) != 0)
             throw CannotRun { "cannot listen" };
         port = ntohs(address.sin_port);
-        std::thread([this] {
-            while (true) {
-                const int accepted = accept4(socket_, nullptr, nullptr, SOCK_CLOEXEC);
-                if (accepted < 0)
-                    continue;
-                const int on = 1;
-                setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-                std::thread([this, accepted] {
-                    Channel channel(accepted);
-                    serve_(channel);
-                }).detach();
-            }
-        }).detach();
+        const std::lock_guard lock(mutex_);
+        socket_ = socket;
+        std::thread([this, socket] { acceptAll(socket); }).detach();
     }
-    std::string address() const { return "127.0.0.1:" + std::to_string(port); }
 
     int port = 0;
 
 private:
+    void acceptAll(int socket)
+    {
+        while (true) {
+            const int accepted = accept4(socket, nullptr, nullptr, SOCK_CLOEXEC);
+            if (accepted < 0)
+                return;
+            const int on = 1;
+            setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            {
+                const std::lock_guard lock(mutex_);
+                channels_.insert(accepted);
+            }
+            std::thread([this, accepted] {
+                Channel channel(accepted);
+                serve_(channel);
+                const std::lock_guard lock(mutex_);
+                channels_.erase(accepted);
+                channel.close();
+            }).detach();
+        }
+    }
+
     std::function<void(Channel &)> serve_;
+    std::mutex mutex_;
+    std::set<int> channels_;
     int socket_ = -1;
 };
 
@@ -423,6 +451,23 @@
         store_.put("servers/" + name, entry.str());
     }
     void expire() { store_.erase("servers/" + name); }
+    // Ends, and starts again after downMs under the same id.
+    void crash(int downMs)
+    {
+        if (isDown_.exchange(true))
+            return;
+        record(name + " crashes");
+        listener_.crash();
+        std::thread([this, downMs] {
+            sleepMs(downMs);
+            born_ = unixMs();
+            sequence_ = 0;
+            listener_.open();
+            isDown_ = false;
+            enter();
+            record(name + " is back");
+        }).detach();
+    }
     std::string address() const { return listener_.address(); }
     std::string sealed(const Message &request) const
     {
@@ -451,7 +496,8 @@
     std::string service_;
     int slots_;
     Handler handler_;
-    long long born_;
+    std::atomic<long long> born_;
+    std::atomic<bool> isDown_ = false;
     std::atomic<int> sequence_ = 0;
     Listener listener_;
 };
@@ -724,9 +770,9 @@
 };
 
 // Two seconds, four times the objective or eight times the pause, whichever is longest.
-const Kind kChat { "chat", "826,330", "c1:198,", 12'000, 2'400 };
+const Kind kChat { "chat", "826,330", "a1:198,", 12'000, 2'400 };
 const Kind kBooking { "booking", "", "", 600, 600 };
-const Kind kReport { "report", "11992,64", "b1:5382,", 15'000, 6'400 };
+const Kind kReport { "report", "11992,64", "a1:198,", 15'000, 6'400 };
 
 std::string newId()
 {
@@ -738,9 +784,10 @@
     return id.str();
 }
 
-std::string requestText(const Kind &kind, const std::string &id)
+std::string requestText(const Kind &kind, const std::string &id, std::string body = {})
 {
-    const std::string body = "prompt of " + id;
+    if (body.empty())
+        body = "prompt of " + id;
     const auto prompt = kind.tokens.empty() ? ""
                                             : "\r\nX-Model: m\r\nX-Token-Counts: " + kind.tokens
             + "\r\nX-Prompt-Prefix: " + kind.parts + id + ":628";
@@ -896,7 +943,7 @@
     return unserved >= 10 && unserved * 12 > calmChats.sent && reportsBegun > 0 ? 1 : 0;
 }
 
-// ---- Case 4: a gateway is stopped while engines that are short of memory pause streams ----
+// ---- Case 5: a gateway is stopped while engines that are short of memory pause streams ----
 
 int runSilence(const Setup &setup)
 {
@@ -1092,7 +1139,7 @@
     return after.second * 4 < after.first ? 1 : 0;
 }
 
-// ---- Case 3: another writer leaves an entry in which fields are missing ----
+// ---- Case 4: another writer leaves an entry in which fields are missing ----
 
 int runIncompleteEntry(const Setup &setup)
 {
@@ -1161,6 +1208,80 @@
     return denied > 5 + kRequests / 500 ? 1 : 0;
 }
 
+// ---- Case 3: requests that crash workers come when all gateways have just started again ----
+
+int runColdStart(const Setup &setup)
+{
+    constexpr int kRecoveryMs = 12'000;
+    constexpr int kServerDownMs = 3'000;
+    auto &store = *new Store;
+    const auto serve = [](Server &server, const Message &request, Channel &channel) {
+        const auto id = request.header("x-attempt-id");
+        record(server.name + " runs " + id);
+        if (request.body.starts_with("deadly")) {
+            server.crash(kServerDownMs);
+            return;
+        }
+        sleepMs(600);
+        if (!channel.send(streamHead(server, request)))
+            return;
+        for (int number = 1; number <= 4; ++number) {
+            if (!channel.send(chunk(eventText(number, id))))
+                return;
+            sleepMs(20);
+        }
+        channel.send("0\r\n\r\n");
+    };
+    auto &servers = *new std::vector<std::unique_ptr<Server>>;
+    for (int i = 1; i <= 3; ++i) {
+        servers.push_back(
+            std::make_unique<Server>(store, "i-" + std::to_string(i), "models", 64, serve));
+        servers.back()->enter();
+    }
+    store.put("op/config", configuration());
+    Fleet fleet(setup.program, setup.templatePath, setup.folder, store, 3);
+    fleet.waitReady();
+    sleepMs(3'000);
+    const auto before = playPlainly(fleet, 3'000);
+    record("before the final fault: " + std::to_string(before.second) + " of "
+           + std::to_string(before.first) + " served");
+    if (before.second * 4 < before.first)
+        throw CannotRun { "requests are not served before the final fault" };
+    fleet.killAll(600);
+    fleet.waitReady();
+    const int back = nowMs();
+    // Callers of requests that crash workers come again, as the others do.
+    std::thread deadly([&] {
+        if (!isTroubled())
+            return;
+        // The first one comes again, with the same path, caller and body.
+        const char *const bodies[] = { "deadly 1", "deadly 1", "deadly 2" };
+        for (std::size_t i = 0; i < 3; ++i) {
+            sleepMs(i == 0 ? 100 : 150);
+            const auto &gateway = fleet.gateways[i];
+            const auto id = newId();
+            record(std::string(bodies[i]) + ", which crashes workers, is sent to " + gateway.name
+                   + ": " + id);
+            const auto outcome =
+                call(gateway, requestText(kReport, id, bodies[i]), kReport.patienceMs);
+            record(std::string(bodies[i]) + ' ' + id + ": " + outcome.text());
+        }
+    });
+    const auto early = playPlainly(fleet, 10'000);
+    deadly.join();
+    record("in the first ten seconds: " + std::to_string(early.second) + " of "
+           + std::to_string(early.first) + " served");
+    sleepMs(std::max(0, back + kRecoveryMs + 1'000 - nowMs()));
+    const auto after = playPlainly(fleet, 10'000);
+    std::ostringstream result;
+    result << "result: " << after.second << " of " << after.first
+           << " requests served later than 12 s after the final fault; before it " << before.second
+           << " of " << before.first;
+    record(result.str());
+    std::cout << result.str() << '\n';
+    return after.second * 4 < after.first ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -1184,6 +1305,8 @@
             result = runOddEntries(setup);
         else if (name == "incomplete")
             result = runIncompleteEntry(setup);
+        else if (name == "cold")
+            result = runColdStart(setup);
     } catch (const CannotRun &problem) {
         record("cannot run: " + problem.why);
         std::cout << "cannot run: " << problem.why << '\n';
