Gateway: Log held removals and export the revisions of the store copy

Change: log lines server_removal_held, server_entry_back (both with the revision) and server_entry_outdated; gauges for held removals and both revisions.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -313,12 +313,21 @@
         if (rest <= Duration::zero())
             return removeServer(name);
         delayedRemovals_[name] = monotonicNow() + rest;
+        log_.write(LogLine("server_removal_held")
+                       .add("server", name.value())
+                       .add("revision", change.revision)
+                       .add("for_ms", std::chrono::ceil<Milliseconds>(rest).count())
+                       .text());
         return true;
     }
     return handleErrors(
         [&]() -> Result<bool> {
             BOOST_LEAF_AUTO(entry, formats_.decodeServer(name, *change.value));
-            delayedRemovals_.erase(name);
+            if (delayedRemovals_.erase(name) > 0)
+                log_.write(LogLine("server_entry_back")
+                               .add("server", name.value())
+                               .add("revision", change.revision)
+                               .text());
             return updateServer(entry);
         },
         [&](const Error &error) {
@@ -334,8 +343,14 @@
 {
     const auto known = directory_.find(entry.name);
     const auto before = known ? std::optional(known->entry) : std::nullopt;
-    if (!directory_.update(entry, monotonicNow()))
+    if (!directory_.update(entry, monotonicNow())) {
+        log_.write(LogLine("server_entry_outdated")
+                       .add("server", entry.name.value())
+                       .add("start", entry.start.value())
+                       .add("sequence", entry.sequence)
+                       .text());
         return false;
+    }
     if (known)
         onServerChanged(*known);
     const auto after = directory_.find(entry.name);
@@ -554,6 +569,14 @@
                       static_cast<double>(services_.open.size()));
     metrics_.setGauge("crocusport_backend_servers", "Registered backend servers.",
                       static_cast<double>(directory_.size()));
+    metrics_.setGauge("crocusport_held_removals",
+                      "Backend servers that are used although their entries were removed.",
+                      static_cast<double>(delayedRemovals_.size()));
+    metrics_.setGauge("crocusport_store_revision", "Revision up to which the store was read.",
+                      static_cast<double>(feed_->mirror().revision()));
+    metrics_.setGauge("crocusport_store_relevant_revision",
+                      "Revision of the last change that other routers are told of.",
+                      static_cast<double>(feed_->mirror().relevantRevision()));
     metrics_.setGauge("crocusport_members", "Known routers, with this one.",
                       static_cast<double>(exchange_->routers().fleetSize()));
     metrics_.setGauge("crocusport_configuration_version", "Version of the configuration in force.",
