StoreMirror: Decide from the items alone what other routers are told

Cause: what a router passed on was decided by the change handler, from the state of that router: its directory, and the removals that it held back. The reader passed on a removal that it held, and not that the entry was back, since for itself nothing had changed; and it did not pass on the removal of a server that it had dropped.

Change: StoreMirror passes on every change but heartbeats. A heartbeat is decided by an equivalence on the old and the new value of the item (StoredItems::sameUse), which has no access to the router's state. The handler returns nothing and is called for the changes of the copy only. This also covers changes that a listing has read ahead of the watch, and removals of unknown items. Dispatch by kind of item and the held removals move out of Gateway into StoredItems, so that tests need no sockets.

The tests of StoreMirror take the new function; the heartbeats of the fleet test keep the entry's use now, as an entry that changes its use is no heartbeat.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -165,10 +165,23 @@
     partRecords_ = std::make_unique<CrashRecords<PartCrashLedger>>(
         storeClient_, formats_, settings_.store, parts_, kPartRecordPrefix);
     BOOST_LEAF_CHECK(startExchange());
+    storedItems_ = std::make_unique<StoredItems>(StoredItems::Parts {
+        formats_,
+        log_,
+        exchange_->routers(),
+        *crashRecords_,
+        *partRecords_,
+        [this](const std::string &text) { onConfiguration(text); },
+        [this](const ServerEntry &entry) { updateServer(entry); },
+        [this](const BackendServerName &name) { removeServer(name); },
+    });
     StoreFeed::Options options { settings_.store, planLimits() };
     feed_ = std::make_unique<StoreFeed>(
         loop_, storeClient_, routerClient_, formats_, exchange_->routers(), options,
-        [this](const StoreChange &change) { return onStoreChange(change); },
+        StoreMirror(StoredItems::sameUse(formats_),
+                    [this](const StoreChange &change) {
+                        storedItems_->apply(change, feed_->mirror(), uptime());
+                    }),
         [this](const std::string &fault) {
             log_.write(LogLine(fault.empty() ? "store_regained" : "store_lost")
                            .add("reason", fault)
@@ -249,50 +262,24 @@
     exchange_->scheduleReport();
 }
 
-bool Gateway::onStoreChange(const StoreChange &change)
-{
-    if (formats_.isConfigurationKey(change.key))
-        return change.value && onConfiguration(*change.value);
-    if (const auto server = formats_.serverNameOfKey(change.key))
-        return onServer(*server, change);
-    if (crashRecords_->isRecordKey(change.key)) {
-        crashRecords_->applyChange(change, monotonicNow());
-        return true;
-    }
-    if (partRecords_->isRecordKey(change.key)) {
-        partRecords_->applyChange(change, monotonicNow());
-        return true;
-    }
-    if (!Registration::isRouterKey(change.key))
-        return false;
-    if (!change.value) {
-        exchange_->routers().removeRegistered(Registration::routerOfKey(change.key));
-        return true;
-    }
-    if (const auto router = Registration::decode(change.key, *change.value))
-        exchange_->routers().addRegistered(*router, uptime());
-    return true;
-}
-
-bool Gateway::onConfiguration(const std::string &text)
+void Gateway::onConfiguration(const std::string &text)
 {
-    return handleErrors(
-        [&]() -> Result<bool> {
+    handleErrors(
+        [&]() -> Result<void> {
             BOOST_LEAF_AUTO(configuration, formats_.decodeConfiguration(text));
             // An older version is never adopted, even if the store returns one.
             if (table_ && configuration.version <= table_->version())
-                return false;
+                return {};
             table_ = std::make_shared<const RoutingTable>(std::move(configuration));
             applyLimits();
             log_.write(LogLine("configuration_adopted")
                            .add("version", table_->version().value())
                            .add("routes", table_->configuration().routes.size())
                            .text());
-            return true;
+            return {};
         },
         [&](const Error &error) {
             log_.write(LogLine("configuration_rejected").add("error", error.message).text());
-            return false;
         });
 }
 
@@ -306,59 +293,17 @@
     callers_->setLimits(applied);
 }
 
-bool Gateway::onServer(const BackendServerName &name, const StoreChange &change)
-{
-    if (!change.value) {
-        const auto rest = feed_->mirror().recoversUntil().value_or(Duration::zero()) - uptime();
-        if (rest <= Duration::zero())
-            return removeServer(name);
-        delayedRemovals_[name] = monotonicNow() + rest;
-        log_.write(LogLine("server_removal_held")
-                       .add("server", name.value())
-                       .add("revision", change.revision)
-                       .add("for_ms", std::chrono::ceil<Milliseconds>(rest).count())
-                       .text());
-        return true;
-    }
-    return handleErrors(
-        [&]() -> Result<bool> {
-            BOOST_LEAF_AUTO(entry, formats_.decodeServer(name, *change.value));
-            if (delayedRemovals_.erase(name) > 0)
-                log_.write(LogLine("server_entry_back")
-                               .add("server", name.value())
-                               .add("revision", change.revision)
-                               .text());
-            return updateServer(entry);
-        },
-        [&](const Error &error) {
-            log_.write(LogLine("server_entry_rejected")
-                           .add("server", name.value())
-                           .add("error", error.message)
-                           .text());
-            return removeServer(name);
-        });
-}
-
-bool Gateway::updateServer(const ServerEntry &entry)
+void Gateway::updateServer(const ServerEntry &entry)
 {
     const auto known = directory_.find(entry.name);
     const auto before = known ? std::optional(known->entry) : std::nullopt;
-    if (!directory_.update(entry, monotonicNow())) {
-        log_.write(LogLine("server_entry_outdated")
-                       .add("server", entry.name.value())
-                       .add("start", entry.start.value())
-                       .add("sequence", entry.sequence)
-                       .text());
-        return false;
-    }
+    if (!directory_.update(entry, monotonicNow()))
+        return;
     if (known)
         onServerChanged(*known);
     const auto after = directory_.find(entry.name);
     if (before && before->start != entry.start)
         prefixes_.removeServer(after->hash);
-    // Compares entries only: what this router observed itself must not hide a change from others.
-    if (before && before->hasSameUse(entry))
-        return false;
     exchange_->refreshLoads();
     log_.write(LogLine("server_changed")
                    .add("server", entry.name.value())
@@ -366,20 +311,18 @@
                    .add("usable", after->isUsable())
                    .add("start", entry.start.value())
                    .text());
-    return true;
 }
 
-bool Gateway::removeServer(const BackendServerName &name)
+void Gateway::removeServer(const BackendServerName &name)
 {
     const auto server = directory_.find(name);
     if (!server)
-        return false;
+        return;
     backends_.closeIdle(server->entry.address);
     prefixes_.removeServer(server->hash);
     directory_.remove(name, monotonicNow());
     onServerChanged(*server);
     log_.write(LogLine("server_removed").add("server", name.value()).text());
-    return true;
 }
 
 void Gateway::onServerChanged(const KnownServer &server)
@@ -571,7 +514,7 @@
                       static_cast<double>(directory_.size()));
     metrics_.setGauge("crocusport_held_removals",
                       "Backend servers that are used although their entries were removed.",
-                      static_cast<double>(delayedRemovals_.size()));
+                      static_cast<double>(storedItems_->heldRemovals()));
     metrics_.setGauge("crocusport_store_revision", "Revision up to which the store was read.",
                       static_cast<double>(feed_->mirror().revision()));
     metrics_.setGauge("crocusport_store_relevant_revision",
@@ -618,14 +561,7 @@
 void Gateway::tick()
 {
     const auto now = monotonicNow();
-    for (auto removal = delayedRemovals_.begin(); removal != delayedRemovals_.end();) {
-        if (removal->second <= now) {
-            removeServer(removal->first);
-            removal = delayedRemovals_.erase(removal);
-        } else {
-            ++removal;
-        }
-    }
+    storedItems_->tick(feed_->mirror(), uptime());
     if (now - startedAt_ >= kMaxStartWait && !stopRequestedAt_)
         callers_->resumeAccepting();
     exchange_->tick(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,11 +5,11 @@
 #include "gatewayservices.h"
 #include "registration.h"
 #include "routerexchange.h"
+#include "storeditems.h"
 #include "storefeed.h"
 
 #include "crocusport/transport/httpserver.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 
@@ -54,12 +54,9 @@
             int logDescriptor);
 
     Result<void> listen();
-    // Each returns whether the change is relevant to other routers.
-    bool onStoreChange(const StoreChange &change);
-    bool onConfiguration(const std::string &text);
-    bool onServer(const BackendServerName &name, const StoreChange &change);
-    bool updateServer(const ServerEntry &entry);
-    bool removeServer(const BackendServerName &name);
+    void onConfiguration(const std::string &text);
+    void updateServer(const ServerEntry &entry);
+    void removeServer(const BackendServerName &name);
     //! Called after the entry of \a server was updated or removed. If the server has crashed, the
     //! requests that were abandoned on it without a response are suspected to be the cause.
     void onServerChanged(const KnownServer &server);
@@ -113,14 +110,14 @@
     RequestMetrics metrics_;
     std::shared_ptr<const RoutingTable> table_;
     std::unordered_map<PoolName, RetryWindow> retryWindows_;
-    std::map<BackendServerName, Instant> delayedRemovals_;
     std::unique_ptr<HttpServer> ready_;
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> metricsServer_;
     std::unique_ptr<RouterExchange> exchange_;
-    std::unique_ptr<StoreFeed> feed_;
     std::unique_ptr<CrashRecords<CrashLedger>> crashRecords_;
     std::unique_ptr<CrashRecords<PartCrashLedger>> partRecords_;
+    std::unique_ptr<StoredItems> storedItems_;
+    std::unique_ptr<StoreFeed> feed_;
     std::unique_ptr<Registration> registration_;
     Timer tickTimer_;
     Timer waitingTimer_;
--- /dev/null
+++ b/src/gateway/storeditems.cpp
@@ -0,0 +1,111 @@
+#include "storeditems.h"
+
+#include "logline.h"
+#include "registration.h"
+
+#include <utility>
+
+namespace crocusport {
+
+namespace {
+
+//! Returns the entry, or nothing if it is unreadable and so names no server.
+std::optional<ServerEntry> readableEntry(const FormatTable &formats, const BackendServerName &name,
+                                         const std::string &value)
+{
+    return handleErrors(
+        [&]() -> Result<std::optional<ServerEntry>> {
+            BOOST_LEAF_AUTO(entry, formats.decodeServer(name, value));
+            return std::optional(std::move(entry));
+        },
+        [](const Error & /*error*/) { return std::optional<ServerEntry>(); });
+}
+
+} // namespace
+
+StoreMirror::SameUse StoredItems::sameUse(const FormatTable &formats)
+{
+    return [&formats](const std::string &key, const std::string &before, const std::string &after) {
+        if (before == after)
+            return true;
+        const auto server = formats.serverNameOfKey(key);
+        if (!server)
+            return false;
+        const auto old = readableEntry(formats, *server, before);
+        const auto current = readableEntry(formats, *server, after);
+        return old && current ? old->hasSameUse(*current) : old.has_value() == current.has_value();
+    };
+}
+
+void StoredItems::apply(const StoreChange &change, const StoreMirror &mirror, Duration now)
+{
+    if (const auto server = parts_.formats.serverNameOfKey(change.key)) {
+        applyServer(*server, change, mirror, now);
+    } else if (parts_.formats.isConfigurationKey(change.key)) {
+        if (change.value)
+            parts_.adoptConfiguration(*change.value);
+    } else if (parts_.crashRecords.isRecordKey(change.key)) {
+        parts_.crashRecords.applyChange(change, monotonicNow());
+    } else if (parts_.partRecords.isRecordKey(change.key)) {
+        parts_.partRecords.applyChange(change, monotonicNow());
+    } else if (Registration::isRouterKey(change.key)) {
+        applyRouter(change, now);
+    }
+}
+
+void StoredItems::applyServer(const BackendServerName &name, const StoreChange &change,
+                              const StoreMirror &mirror, Duration now)
+{
+    const auto recoversUntil = mirror.recoversUntil().value_or(Duration::zero());
+    if (!change.value && now < recoversUntil) {
+        heldRemovals_.insert(name);
+        parts_.log.write(
+            LogLine("server_removal_held")
+                .add("server", name.value())
+                .add("revision", change.revision)
+                .add("for_ms", std::chrono::ceil<Milliseconds>(recoversUntil - now).count())
+                .text());
+        return;
+    }
+    const bool wasHeld = heldRemovals_.erase(name) > 0;
+    if (!change.value) {
+        parts_.removeServer(name);
+        return;
+    }
+    if (wasHeld)
+        parts_.log.write(LogLine("server_entry_back")
+                             .add("server", name.value())
+                             .add("revision", change.revision)
+                             .text());
+    handleErrors(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(entry, parts_.formats.decodeServer(name, *change.value));
+            parts_.updateServer(entry);
+            return {};
+        },
+        [&](const Error &error) {
+            parts_.log.write(LogLine("server_entry_rejected")
+                                 .add("server", name.value())
+                                 .add("error", error.message)
+                                 .text());
+            parts_.removeServer(name);
+        });
+}
+
+void StoredItems::applyRouter(const StoreChange &change, Duration now)
+{
+    if (!change.value)
+        parts_.routers.removeRegistered(Registration::routerOfKey(change.key));
+    else if (const auto router = Registration::decode(change.key, *change.value))
+        parts_.routers.addRegistered(*router, now);
+}
+
+void StoredItems::tick(const StoreMirror &mirror, Duration now)
+{
+    if (heldRemovals_.empty() || now < mirror.recoversUntil().value_or(Duration::zero()))
+        return;
+    for (const auto &name : std::exchange(heldRemovals_, {}))
+        parts_.removeServer(name);
+}
+
+} // namespace crocusport
--- /dev/null
+++ b/src/gateway/storeditems.h
@@ -0,0 +1,69 @@
+#ifndef CROCUSPORT_STOREDITEMS_H
+#define CROCUSPORT_STOREDITEMS_H
+
+#include "crashrecords.h"
+#include "formattable.h"
+#include "routerdirectory.h"
+#include "storemirror.h"
+
+#include "crocusport/transport/logwriter.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace crocusport {
+
+/*!
+    Applies the changes of a router's copy of the store to what the router acts on: the
+    configuration, the backend servers, the routers and the records of crashes. In calm, what the
+    router acts on depends only on the items that the copy holds, not on the order in which it has
+    read them or on the source.
+
+    The removal of a backend server's entry is held back after an outage of the store, in which
+    entries expire although their servers run; see StoreMirror::recoversUntil().
+
+    Times are from the boot clock. Thread safety: none; use from one thread. The parts must outlive
+    the object.
+*/
+class StoredItems
+{
+public:
+    struct Parts
+    {
+        const FormatTable &formats;
+        LogWriter &log;
+        RouterDirectory &routers;
+        CrashRecords<CrashLedger> &crashRecords;
+        CrashRecords<PartCrashLedger> &partRecords;
+        std::function<void(const std::string &text)> adoptConfiguration;
+        std::function<void(const ServerEntry &entry)> updateServer;
+        //! Called for entries that were removed or have become unreadable; the server may be
+        //! unknown.
+        std::function<void(const BackendServerName &name)> removeServer;
+    };
+
+    explicit StoredItems(Parts parts) : parts_(std::move(parts)) { }
+
+    //! Returns the function that tells heartbeats from changes, for the copy. It uses only
+    //! \a formats, which must outlive the function.
+    static StoreMirror::SameUse sameUse(const FormatTable &formats);
+
+    //! Applies a change that \a mirror has just made.
+    void apply(const StoreChange &change, const StoreMirror &mirror, Duration now);
+    //! Carries out the removals that need no longer be held back. Call it several times a second.
+    void tick(const StoreMirror &mirror, Duration now);
+    std::size_t heldRemovals() const { return heldRemovals_.size(); }
+
+private:
+    void applyServer(const BackendServerName &name, const StoreChange &change,
+                     const StoreMirror &mirror, Duration now);
+    void applyRouter(const StoreChange &change, Duration now);
+
+    Parts parts_;
+    std::set<BackendServerName> heldRemovals_;
+};
+
+} // namespace crocusport
+
+#endif // CROCUSPORT_STOREDITEMS_H
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -24,11 +24,11 @@
 
 StoreFeed::StoreFeed(EventLoop &loop, HttpClient &storeClient, HttpClient &routerClient,
                      const FormatTable &formats, RouterDirectory &routers, Options options,
-                     StoreMirror::ChangeHandler onChange, ReachabilityHandler onReachabilityChanged,
+                     StoreMirror mirror, ReachabilityHandler onReachabilityChanged,
                      UpdateHandler onUpdated)
     : storeClient_(storeClient), routerClient_(routerClient), formats_(formats), routers_(routers),
       options_(std::move(options)), onReachabilityChanged_(std::move(onReachabilityChanged)),
-      onUpdated_(std::move(onUpdated)), mirror_(std::move(onChange)),
+      onUpdated_(std::move(onUpdated)), mirror_(std::move(mirror)),
       plan_(options_.limits, uptime()), timer_(loop, [this] { onTimer(); })
 {
     mirror_.setMaxAge(options_.limits.maxCopyAge);
--- a/src/gateway/storefeed.h
+++ b/src/gateway/storefeed.h
@@ -38,7 +38,7 @@
 
     StoreFeed(EventLoop &loop, HttpClient &storeClient, HttpClient &routerClient,
               const FormatTable &formats, RouterDirectory &routers, Options options,
-              StoreMirror::ChangeHandler onChange, ReachabilityHandler onReachabilityChanged,
+              StoreMirror mirror, ReachabilityHandler onReachabilityChanged,
               UpdateHandler onUpdated);
 
     StoreFeed(const StoreFeed &) = delete;
--- a/src/gateway/storemirror.cpp
+++ b/src/gateway/storemirror.cpp
@@ -16,8 +16,6 @@
 constexpr std::size_t kMaxLogChanges = 1000;
 constexpr std::size_t kMaxLogBytes = 2UL * 1024 * 1024;
 
-// A shorter gap is a single failed call, too short for an entry to expire.
-constexpr Duration kOutageTime = std::chrono::milliseconds(1000);
 // Entries that expired during an outage are written again within this time after the outage.
 constexpr Duration kRecoveryTime = std::chrono::milliseconds(2000);
 
@@ -87,19 +85,29 @@
     recoversUntil_ = at + (wasUsed ? std::min(maxAge_ - gap, kRecoveryTime) : kRecoveryTime);
 }
 
+// What other copies need is decided from the items alone. A listing reads items that were written
+// after its revision, so this copy may be ahead of a change that copies behind it still need.
 bool StoreMirror::apply(const StoreChange &change)
 {
     const auto known = items_.find(change.key);
-    if (change.value) {
-        if (known != items_.end() && change.revision <= known->second.revision)
-            return false;
+    if (known == items_.end()) {
+        if (!change.value)
+            return true;
         items_[change.key] = { *change.value, change.revision };
+    } else if (!change.value) {
+        if (change.revision < known->second.revision)
+            return true;
+        items_.erase(known);
     } else {
-        if (known == items_.end() || change.revision < known->second.revision)
+        if (change.revision <= known->second.revision)
+            return true;
+        const bool isHeartbeat = hasSameUse_(change.key, known->second.value, *change.value);
+        known->second = { *change.value, change.revision };
+        if (isHeartbeat)
             return false;
-        items_.erase(known);
     }
-    return onChange_(change);
+    onChange_(change);
+    return true;
 }
 
 void StoreMirror::note(const StoreChange &change)
--- a/src/gateway/storemirror.h
+++ b/src/gateway/storemirror.h
@@ -45,10 +45,24 @@
 class StoreMirror
 {
 public:
-    //! Handles a change; returns whether the change is relevant, i.e. not a heartbeat.
-    using ChangeHandler = std::function<bool(const StoreChange &change)>;
+    /*!
+        Returns whether \a before and \a after, two values of the item \a key, are of the same use
+       to every router, so that a change from one to the other is a heartbeat. Must be an
+       equivalence relation that depends on its arguments only: it decides what other routers are
+       told, and they may know and do other things than this router.
+    */
+    using SameUse = std::function<bool(const std::string &key, const std::string &before,
+                                       const std::string &after)>;
+    //! Handles a change of this copy other than a heartbeat.
+    using ChangeHandler = std::function<void(const StoreChange &change)>;
+
+    //! A gap between two confirmations that is longer than this counts as an outage of the store. A
+    //! shorter one is a single failed call, too short for an entry to expire.
+    static constexpr Duration kOutageTime = std::chrono::milliseconds(1000);
 
-    explicit StoreMirror(ChangeHandler onChange) : onChange_(std::move(onChange)) { }
+    StoreMirror(SameUse hasSameUse, ChangeHandler onChange)
+        : hasSameUse_(std::move(hasSameUse)), onChange_(std::move(onChange))
+    { }
 
     //! Sets the maximum age at which the copy is used while the store is reachable.
     void setMaxAge(Duration limit) { maxAge_ = limit; }
@@ -99,12 +113,15 @@
 
     //! Detects an outage by the gap between freshAt() and \a at, its next value.
     void detectOutage(Duration at);
+    //! Applies a change that may be older than the copy. Returns whether other copies may need it:
+    //! all changes but heartbeats.
     bool apply(const StoreChange &change);
     void note(const StoreChange &change);
     void removeMissing(const std::unordered_set<std::string> &present, StoreRevision revision);
     //! Empties the change log; it contains the changes after \a revision from now on.
     void restartLog(StoreRevision revision);
 
+    SameUse hasSameUse_;
     ChangeHandler onChange_;
     std::unordered_map<std::string, Item> items_;
     std::deque<StoreChange> log_; //!< Relevant changes after logStart_.
--- a/tests/gateway/testrouterfleet.cpp
+++ b/tests/gateway/testrouterfleet.cpp
@@ -1,3 +1,4 @@
+#include "modelstore.h"
 #include "storemirror.h"
 #include "storeplan.h"
 
@@ -17,59 +18,20 @@
 
 using std::chrono::milliseconds;
 
-//! A store in memory: its items with their revisions, and the history of all changes.
-class ModelStore
+//! What follows "~" in a value changes with each heartbeat.
+bool hasSameUse(const std::string & /*key*/, const std::string &before, const std::string &after)
 {
-public:
-    void put(const std::string &key, const std::string &value)
-    {
-        items_[key] = { key, value, ++revision_ };
-        changes_.push_back(items_[key]);
-    }
-    void erase(const std::string &key)
-    {
-        items_.erase(key);
-        changes_.push_back({ key, std::nullopt, ++revision_ });
-    }
-    StorePage list() const
-    {
-        StorePage page;
-        for (const auto &[key, change] : items_)
-            page.changes.push_back(change);
-        page.revision = revision_;
-        return page;
-    }
-    StorePage watch(StoreRevision after) const
-    {
-        StorePage page;
-        for (const auto &change : changes_) {
-            if (change.revision > after)
-                page.changes.push_back(change);
-        }
-        page.revision = revision_;
-        return page;
-    }
-    StoreRevision revision() const { return revision_; }
-    const std::map<std::string, StoreChange> &items() const { return items_; }
-
-private:
-    std::map<std::string, StoreChange> items_;
-    std::vector<StoreChange> changes_;
-    StoreRevision revision_ = 0;
-};
-
-//! Values that begin with "~" are heartbeats.
-bool isRelevant(const StoreChange &change)
-{
-    return !change.value || !change.value->starts_with('~');
+    return before.substr(0, before.find('~')) == after.substr(0, after.find('~'));
 }
 
+void ignoreChange(const StoreChange & /*change*/) { }
+
 void list(StoreMirror &mirror, const ModelStore &store, Duration now)
 {
     mirror.beginListing();
     mirror.addListed(store.list());
     mirror.finishListing(now);
-    mirror.addWatched(store.watch(mirror.revision()), now);
+    mirror.addWatched(*store.watch(mirror.revision()), now);
 }
 
 //! Simulates routers on one clock with the real StorePlan, RouterDirectory and StoreMirror. Failed
@@ -80,8 +42,8 @@
     struct Router
     {
         Router(RouterEntry own, const StorePlan::Limits &limits, Duration now)
-            : entry(std::move(own)), routers(entry.name, entry.zone), mirror(isRelevant),
-              plan(limits, now)
+            : entry(std::move(own)), routers(entry.name, entry.zone),
+              mirror(hasSameUse, ignoreChange), plan(limits, now)
         { }
 
         RouterEntry entry;
@@ -120,7 +82,7 @@
     {
         for (const auto end = now + length; now < end; now += kTick) {
             if (store.revision() % 7 == 0 || random_() % 8 == 0)
-                store.put("server-0", "~" + std::to_string(now.count()));
+                store.put("server-0", "ready~" + std::to_string(now.count()));
             for (const auto &router : routers) {
                 if (!router->isDown)
                     step(*router);
@@ -203,7 +165,7 @@
         }
         router.plan.noteStoreAnswered();
         if (router.mirror.isComplete())
-            router.mirror.addWatched(store.watch(router.mirror.revision()), now);
+            router.mirror.addWatched(*store.watch(router.mirror.revision()), now);
         else
             list(router.mirror, store, now);
     }
@@ -236,9 +198,9 @@
     ModelStore store;
     store.put("a", "1");
     store.put("b", "1");
-    StoreMirror reader(isRelevant);
+    StoreMirror reader(hasSameUse, ignoreChange);
     list(reader, store, std::chrono::seconds(10));
-    StoreMirror follower(isRelevant);
+    StoreMirror follower(hasSameUse, ignoreChange);
     const auto ask = [&](Duration at) {
         follower.addFromRouter(reader.changesAfter(follower.revision(), at), at);
     };
@@ -251,7 +213,7 @@
     {
         store.put("a", "2");
         store.erase("b");
-        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        reader.addWatched(*store.watch(reader.revision()), std::chrono::seconds(12));
         ask(std::chrono::seconds(13));
         REQUIRE(follower.value("a") == "2");
         REQUIRE_FALSE(follower.value("b").has_value());
@@ -262,7 +224,7 @@
     WHEN("the reader restarts after a change that the follower has not read")
     {
         store.put("a", "2");
-        StoreMirror restarted(isRelevant);
+        StoreMirror restarted(hasSameUse, ignoreChange);
         list(restarted, store, std::chrono::seconds(14));
         const auto changes = restarted.changesAfter(follower.revision(), std::chrono::seconds(14));
         REQUIRE(changes.isSnapshot);
@@ -272,10 +234,10 @@
     // Guards against a deletion that is undone by the older copy of another router.
     WHEN("another router has an older copy")
     {
-        StoreMirror behind(isRelevant);
+        StoreMirror behind(hasSameUse, ignoreChange);
         list(behind, store, std::chrono::seconds(11));
         store.erase("b");
-        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        reader.addWatched(*store.watch(reader.revision()), std::chrono::seconds(12));
         ask(std::chrono::seconds(12));
         follower.addFromRouter(behind.changesAfter(0, std::chrono::seconds(13)),
                                std::chrono::seconds(13));
@@ -286,15 +248,15 @@
     // no change, but must still report it to copies that have read only the first change.
     WHEN("an item changes twice between two queries of the follower")
     {
-        StoreMirror third(isRelevant);
+        StoreMirror third(hasSameUse, ignoreChange);
         third.addFromRouter(reader.changesAfter(0, std::chrono::seconds(11)),
                             std::chrono::seconds(11));
         store.put("a", "2");
-        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        reader.addWatched(*store.watch(reader.revision()), std::chrono::seconds(12));
         third.addFromRouter(reader.changesAfter(third.revision(), std::chrono::seconds(12)),
                             std::chrono::seconds(12));
         store.put("a", "1");
-        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(13));
+        reader.addWatched(*store.watch(reader.revision()), std::chrono::seconds(13));
         ask(std::chrono::seconds(14));
         third.addFromRouter(follower.changesAfter(third.revision(), std::chrono::seconds(14)),
                             std::chrono::seconds(14));
@@ -304,7 +266,7 @@
     {
         store.erase("b");
         store.put("c", std::string("any\0bytes\xFF", 10));
-        reader.addWatched(store.watch(reader.revision()), std::chrono::seconds(12));
+        reader.addWatched(*store.watch(reader.revision()), std::chrono::seconds(12));
         const auto after = GENERATE(StoreRevision(0), StoreRevision(2));
         const auto changes = reader.changesAfter(after, std::chrono::seconds(13));
         const auto bytes = encodeStoreChanges(changes);
@@ -330,7 +292,7 @@
         store.put("a", "1");
         std::vector<std::unique_ptr<StoreMirror>> mirrors;
         for (int i = 0; i < 4; ++i)
-            mirrors.push_back(std::make_unique<StoreMirror>(isRelevant));
+            mirrors.push_back(std::make_unique<StoreMirror>(hasSameUse, ignoreChange));
         // The items of the store at each time.
         std::map<std::int64_t, std::map<std::string, std::string>> history;
         Duration now = std::chrono::seconds(1);
@@ -352,7 +314,7 @@
                 break;
             case 3:
                 if (mirror.isComplete())
-                    mirror.addWatched(store.watch(mirror.revision()), now);
+                    mirror.addWatched(*store.watch(mirror.revision()), now);
                 break;
             default: {
                 const auto &other = *mirrors[*rc::gen::inRange<std::size_t>(0, mirrors.size())];
--- a/tests/gateway/teststoremirror.cpp
+++ b/tests/gateway/teststoremirror.cpp
@@ -11,6 +11,12 @@
 const StoreChange kEntry { "server", "entry", 1 };
 const StoreChange kRemoval { "server", std::nullopt, 2 };
 
+bool isNeverSameUse(const std::string & /*key*/, const std::string & /*before*/,
+                    const std::string & /*after*/)
+{
+    return false;
+}
+
 } // namespace
 
 // Guards against requests to a server that has left: its removal must not be treated like an entry
@@ -19,10 +25,9 @@
 {
     std::optional<Duration> heldUntil;
     StoreMirror *mirrorOfHandler = nullptr;
-    StoreMirror mirror([&](const StoreChange &change) {
+    StoreMirror mirror(isNeverSameUse, [&](const StoreChange &change) {
         if (!change.value)
             heldUntil = mirrorOfHandler->recoversUntil();
-        return true;
     });
     mirrorOfHandler = &mirror;
     mirror.beginListing();
@@ -91,3 +96,41 @@
         REQUIRE(heldUntil == askedAt - std::chrono::milliseconds(100) + kRecoveryTime);
     }
 }
+
+// Guards against a router that tells others only of the changes that changed something for itself.
+SCENARIO("Changes that another copy needs and this one does not")
+{
+    int handled = 0;
+    StoreMirror mirror(isNeverSameUse, [&](const StoreChange & /*change*/) { ++handled; });
+    const auto listedAt = [&](const StorePage &page) {
+        mirror.beginListing();
+        mirror.addListed({ {}, 1, true });
+        mirror.addListed(page);
+        mirror.finishListing(kStart);
+    };
+    const auto passedOn = [&] { return mirror.changesAfter(1, kStart).changes; };
+
+    WHEN("an item is removed that this copy does not have")
+    {
+        listedAt({ {}, 3, false });
+        mirror.addWatched({ { { "server", std::nullopt, 2 } }, 3, false }, kStart);
+        REQUIRE(handled == 0);
+        REQUIRE(passedOn().size() == 1);
+    }
+    WHEN("an item was written between the first and the last page of this copy's listing")
+    {
+        const StoreChange later { "server", "entry", 3 };
+        listedAt({ { later }, 3, false });
+        mirror.addWatched({ { later }, 3, false }, kStart);
+        REQUIRE(handled == 1);
+        REQUIRE(passedOn().size() == 1);
+    }
+    WHEN("an item was removed and written again between the pages")
+    {
+        const StoreChange later { "server", "entry", 3 };
+        listedAt({ { later }, 3, false });
+        mirror.addWatched({ { { "server", std::nullopt, 2 }, later }, 3, false }, kStart);
+        REQUIRE(mirror.value("server") == "entry");
+        REQUIRE(passedOn().size() == 2);
+    }
+}
--- a/tests/platform/standinstore.h
+++ b/tests/platform/standinstore.h
@@ -29,6 +29,8 @@
     void dropHistory() { historyStart_ = revision_; }
     void setMode(Mode mode) { mode_ = mode; }
     bool has(const std::string &key) const { return items_.contains(key); }
+    //! Returns the value of an item. Precondition: has(key).
+    std::string value(const std::string &key) const { return items_.at(key).value; }
     int callCount() const { return callCount_; }
 
 private:
--- /dev/null
+++ b/tests/platform/testexpiredentries.cpp
@@ -0,0 +1,78 @@
+#include "deployment.h"
+
+#include "../transport/rawclient.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace crocusport;
+
+namespace {
+
+// Routers that have just started find each other by their entries in the store.
+constexpr Milliseconds kDiscoveryTime { 4000 };
+// Longer than the gap that counts as an outage, with the timeout of a call.
+constexpr Milliseconds kOutage { 2500 };
+// The time in which expired entries may be back, the pause after failed calls, and a second.
+constexpr Milliseconds kRecoveryTime { 4500 };
+
+int statusAt(LoopRunner &runner, const Gateway &router)
+{
+    RawClient client(runner.loop(), router.callersAddress());
+    client.send(Deployment::request("safe"));
+    if (!runner.runUntil([&] { return client.received().size() > 12; }))
+        return 0;
+    return std::stoi(client.received().substr(9, 3));
+}
+
+} // namespace
+
+// Guards against routers that drop all servers after an outage of the store in which entries
+// expired, because the router that reads the store for them does not tell them that the entries are
+// back.
+SCENARIO("Entries of servers expire while the store is out")
+{
+    LoopRunner runner;
+    Deployment deployment(runner);
+    REQUIRE(deployment.serve());
+    const auto follower = deployment.startRouter("router-2");
+    runner.runFor(kDiscoveryTime);
+    REQUIRE(statusAt(runner, *deployment.gateway) == 200);
+    REQUIRE(statusAt(runner, *follower) == 200);
+    const auto entry = deployment.store.value("servers/first");
+    deployment.store.setMode(StandInStore::Mode::Refusing);
+    deployment.store.erase("servers/first");
+    runner.runFor(kOutage);
+
+    WHEN("the entry is back soon after the outage, as it was")
+    {
+        const bool isReadBefore = GENERATE(true, false);
+        CAPTURE(isReadBefore);
+        if (!isReadBefore)
+            deployment.store.put("servers/first", entry);
+        deployment.store.setMode(StandInStore::Mode::Serving);
+        if (isReadBefore) {
+            runner.runFor(Milliseconds(1500));
+            deployment.store.put("servers/first", entry);
+        }
+        runner.runFor(kRecoveryTime);
+        THEN("all routers use the server")
+        {
+            REQUIRE(statusAt(runner, *deployment.gateway) == 200);
+            REQUIRE(statusAt(runner, *follower) == 200);
+        }
+    }
+    WHEN("the server is gone for good")
+    {
+        deployment.store.setMode(StandInStore::Mode::Serving);
+        runner.runFor(kRecoveryTime);
+        THEN("no router uses it")
+        {
+            const auto before = deployment.first.requests.size();
+            REQUIRE(statusAt(runner, *deployment.gateway) == 503);
+            REQUIRE(statusAt(runner, *follower) == 503);
+            REQUIRE(deployment.first.requests.size() == before);
+        }
+    }
+}
