ServerDirectory: Follow the order of the store

Cause: the directory refused an entry whose start and sequence were not higher than those of the entry it had, or of one removed in the last 30 s. An entry that expires and comes back as it was stayed unknown, and routers differed by what they had read in between. Which of two servers at one address is superseded depended on the order of the calls, too: an old entry that came back after its successor's counted as live.

Change: the copy applies items in the order of the store's revisions, so the directory takes each entry as the newest. Whether a server is superseded is derived from the entries at its address. PROTOCOL.md: a write whose answer was lost is executed late only "if its condition still holds", so the store has no older entry behind a newer.

--- a/include/crocusport/gateway/serverentry.h
+++ b/include/crocusport/gateway/serverentry.h
@@ -31,11 +31,6 @@
             == std::tie(other.pool, other.address, other.zone, other.slots, other.state,
                         other.start);
     }
-    //! Whether the entry was written after \a other, an entry of the same name.
-    bool isNewerThan(const ServerEntry &other) const
-    {
-        return std::tie(start, sequence) > std::tie(other.start, other.sequence);
-    }
 };
 
 //! A router's name and address, as it registers in the store and reports to other routers.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -297,8 +297,7 @@
 {
     const auto known = directory_.find(entry.name);
     const auto before = known ? std::optional(known->entry) : std::nullopt;
-    if (!directory_.update(entry, monotonicNow()))
-        return;
+    directory_.update(entry, monotonicNow());
     if (known)
         onServerChanged(*known);
     const auto after = directory_.find(entry.name);
@@ -320,7 +319,7 @@
         return;
     backends_.closeIdle(server->entry.address);
     prefixes_.removeServer(server->hash);
-    directory_.remove(name, monotonicNow());
+    directory_.remove(name);
     onServerChanged(*server);
     log_.write(LogLine("server_removed").add("server", name.value()).text());
 }
@@ -575,7 +574,6 @@
         waitingTimer_.startOnce(Duration::zero());
     if (now >= nextHousekeeping_) {
         nextHousekeeping_ = now + kHousekeepingInterval;
-        directory_.expire(now);
         prefixes_.expire(now);
         crashes_.expire(now);
         parts_.expire(now);
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -36,8 +36,6 @@
 // Avoidance after another router's report, which is weaker evidence than repeated faults that this
 // router saw itself.
 constexpr Duration kReportedAvoidance = std::chrono::milliseconds(700);
-// Late copies of the entries of a removed server may arrive for about this long.
-constexpr Duration kRemovedRetentionTime = std::chrono::seconds(30);
 
 } // namespace
 
@@ -156,23 +154,15 @@
     return crashes_;
 }
 
-bool ServerDirectory::update(const ServerEntry &entry, Instant now)
+void ServerDirectory::update(const ServerEntry &entry, Instant now)
 {
-    if (const auto removed = removed_.find(entry.name); removed != removed_.end()) {
-        if (!entry.isNewerThan(removed->second.entry))
-            return false;
-        removed_.erase(removed);
-    }
     auto &server = servers_[entry.name];
     const bool isRestarted = server && server->entry.start != entry.start;
     const bool isMoved =
         server && (server->entry.pool != entry.pool || server->entry.address != entry.address);
-    if (server && !entry.isNewerThan(server->entry))
-        return false;
     if (isRestarted || isMoved) {
         server->isGone = true;
         unlink(server);
-        releaseAddress(server);
         server = nullptr;
     }
     if (!server) {
@@ -186,21 +176,19 @@
                                      }),
                     server);
         server->entry = entry;
-        claimAddress(server);
+        byAddress_[entry.address].push_back(server);
+        settleAddress(entry.address);
     }
     server->entry = entry;
     server->coldUntil = now + entry.coldRemaining;
-    return true;
 }
 
-void ServerDirectory::remove(const BackendServerName &name, Instant now)
+void ServerDirectory::remove(const BackendServerName &name)
 {
     const auto found = servers_.find(name);
     if (found == servers_.end())
         return;
     found->second->isGone = true;
-    releaseAddress(found->second);
-    removed_[name] = { found->second->entry, now };
     unlink(found->second);
     hashes_.erase(found->second->hash);
     servers_.erase(found);
@@ -209,35 +197,25 @@
 void ServerDirectory::unlink(const ServerPointer &server)
 {
     std::erase(pools_[server->entry.pool], server);
+    const auto found = byAddress_.find(server->entry.address);
+    std::erase(found->second, server);
+    if (found->second.empty())
+        byAddress_.erase(found);
+    else
+        settleAddress(server->entry.address);
 }
 
 // The entry of a crashed server remains until it expires. In the meantime its successor may have
 // registered the same address under another name, and rejects requests for the old name.
-void ServerDirectory::claimAddress(const ServerPointer &server)
-{
-    auto &holder = byAddress_[server->entry.address];
-    if (holder && holder->entry.start < server->entry.start)
-        holder->isSuperseded = true;
-    if (!holder || holder->isSuperseded)
-        holder = server;
-}
-
-void ServerDirectory::releaseAddress(const ServerPointer &server)
-{
-    const auto found = byAddress_.find(server->entry.address);
-    if (found == byAddress_.end() || found->second != server)
-        return;
-    byAddress_.erase(found);
-    for (const auto &[name, other] : servers_) {
-        if (other != server && other->entry.address == server->entry.address)
-            other->isSuperseded = false;
-    }
-}
-
-void ServerDirectory::expire(Instant now)
-{
-    std::erase_if(removed_,
-                  [&](const auto &item) { return item.second.at + kRemovedRetentionTime <= now; });
+void ServerDirectory::settleAddress(const SocketAddress &address)
+{
+    const auto &servers = byAddress_[address];
+    const auto latest =
+        *std::max_element(servers.begin(), servers.end(), [](const auto &left, const auto &right) {
+            return left->entry.start < right->entry.start;
+        });
+    for (const auto &server : servers)
+        server->isSuperseded = server->entry.start < latest->entry.start;
 }
 
 const std::vector<ServerDirectory::ServerPointer> &ServerDirectory::pool(const PoolName &name) const
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -143,12 +143,11 @@
 public:
     using ServerPointer = std::shared_ptr<KnownServer>;
 
-    //! Adds or updates a server. Returns false if \a entry is not newer than the known one.
-    bool update(const ServerEntry &entry, Instant now);
+    //! Adds or updates a server. The order of the calls decides which entry is the newest, as it is
+    //! the order of the store's revisions: an entry may come back as it was.
+    void update(const ServerEntry &entry, Instant now);
     //! Removes a server. Does nothing if there is no server of this name.
-    void remove(const BackendServerName &name, Instant now);
-    //! Drops the records of removed servers whose late entries can no longer arrive.
-    void expire(Instant now);
+    void remove(const BackendServerName &name);
 
     //! Returns the servers of a pool in the order of their hashes.
     const std::vector<ServerPointer> &pool(const PoolName &name) const;
@@ -163,21 +162,15 @@
     }
 
 private:
-    struct Removed
-    {
-        ServerEntry entry;
-        Instant at {};
-    };
-
     void unlink(const ServerPointer &server);
-    void claimAddress(const ServerPointer &server);
-    void releaseAddress(const ServerPointer &server);
+    //! Decides which of the servers at \a address are superseded, from their entries alone.
+    //! Precondition: there is one.
+    void settleAddress(const SocketAddress &address);
 
     std::unordered_map<BackendServerName, ServerPointer> servers_;
     std::unordered_map<ServerHash, ServerPointer> hashes_;
     std::unordered_map<PoolName, std::vector<ServerPointer>> pools_;
-    std::unordered_map<SocketAddress, ServerPointer> byAddress_; //!< The latest to start.
-    std::unordered_map<BackendServerName, Removed> removed_;
+    std::unordered_map<SocketAddress, std::vector<ServerPointer>> byAddress_;
 };
 
 } // namespace crocusport
