StoredItems: Drop the registration of a router whose entry is unreadable

Cause: an entry of a router that cannot be read was ignored, so routers that had read a sound one before kept it as registered, and others did not. Change: an unreadable entry names no router, as if it were removed. Result: the property test of this series was red ("router f2") without this change.

--- a/src/gateway/storeditems.cpp
+++ b/src/gateway/storeditems.cpp
@@ -94,10 +94,12 @@
 
 void StoredItems::applyRouter(const StoreChange &change, Duration now)
 {
-    if (!change.value)
-        parts_.routers.removeRegistered(Registration::routerOfKey(change.key));
-    else if (const auto router = Registration::decode(change.key, *change.value))
+    const auto router =
+        change.value ? Registration::decode(change.key, *change.value) : std::nullopt;
+    if (router)
         parts_.routers.addRegistered(*router, now);
+    else
+        parts_.routers.removeRegistered(Registration::routerOfKey(change.key));
 }
 
 void StoredItems::tick(const StoreMirror &mirror, Duration now)
