StoredItems: Hold removals while the store is out again

Cause: a removal that was held back after an outage was carried out two seconds later even if the store was out again by then, so that the entry could not have been written. All routers would have dropped all servers until the end of the second outage.

Change: held removals are carried out by a copy that is fresh, after the recovery time of the last outage.

Tests: "Entries of servers and outages of the store" was red without this change (the server was dropped in the second outage).

--- a/src/gateway/storeditems.cpp
+++ b/src/gateway/storeditems.cpp
@@ -106,6 +106,9 @@
 {
     if (heldRemovals_.empty() || now < mirror.recoversUntil().value_or(Duration::zero()))
         return;
+    // The store may be out again, so that the entries could not be written.
+    if (now - mirror.freshAt().value_or(Duration::zero()) > StoreMirror::kOutageTime)
+        return;
     for (const auto &name : std::exchange(heldRemovals_, {}))
         parts_.removeServer(name);
 }
--- a/src/gateway/storemirror.cpp
+++ b/src/gateway/storemirror.cpp
@@ -82,7 +82,8 @@
     if (gap <= kOutageTime)
         return;
     const bool wasUsed = gap < maxAge_;
-    recoversUntil_ = at + (wasUsed ? std::min(maxAge_ - gap, kRecoveryTime) : kRecoveryTime);
+    const auto until = at + (wasUsed ? std::min(maxAge_ - gap, kRecoveryTime) : kRecoveryTime);
+    recoversUntil_ = std::max(recoversUntil_.value_or(until), until);
 }
 
 // What other copies need is decided from the items alone. A listing reads items that were written
