--- a/tests/gateway/storereader.cpp
+++ b/tests/gateway/storereader.cpp
@@ -83,6 +83,8 @@
                 return std::optional(std::move(decoded));
             },
             [](const Error & /*error*/) { return std::optional<ServerEntry>(); });
+    if (item == nullptr && mirror_.value("servers/" + name.value()))
+        return "copy has removed " + name.value();
     if (!entry)
         return known ? "used: " + name.value() : "";
     if (!known)
