Gateway: Answer the requests that are open at the end of the shutdown grace

Cause: a connection that was accepted in time could deliver a request at any later moment, and the loop stopped with requests open.

Change: a request that is complete later than 3 s after SIGTERM is refused (503, it has not run). 400 ms before the kill, open requests get their final answer: 503 if no byte was sent to a server, 502 otherwise; a stream that has begun is aborted. The process exits when these are written, at the latest 150 ms before the kill.

crocusportd refuses requests when it stops accepting connections (RequestSession::admit()), and ends only when no request is open: no change.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -118,6 +118,10 @@
 {
     request_ = services_.formats.decodeRequest(*exchange_);
     table_ = services_.table();
+    if (services_.isStopping) {
+        refuse(kUnavailable, ResultCode::RouterStopping, kRetryAfterUnready);
+        return;
+    }
     if (!table_) {
         refuse(kUnavailable, ResultCode::NotConfigured, kRetryAfterUnready);
         return;
@@ -707,6 +711,13 @@
     finishFault(ResultCode::DeadlinePassed);
 }
 
+void ForwardedRequest::stop()
+{
+    const auto self = shared_from_this();
+    mayHaveRun_ = mayHaveRun_ || (call_ && isSent());
+    finishFault(ResultCode::RouterStopping);
+}
+
 void ForwardedRequest::refuse(int status, ResultCode code, std::optional<Duration> retryAfter)
 {
     exchange_->reply(status, retryAfter ? retryAfterHeader(*retryAfter) : HttpHeaders(), "");
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -37,6 +37,10 @@
     ForwardedRequest(const ForwardedRequest &) = delete;
     ForwardedRequest &operator=(const ForwardedRequest &) = delete;
 
+    //! Ends the request because the router stops. The caller is told whether the request may have
+    //! run; a stream that has begun is aborted.
+    void stop();
+
 private:
     //! Why an attempt ended without a response for the caller.
     enum class AttemptFault {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,8 +37,13 @@
 // The load balancer checks readiness once a second and stops sending after two failed checks.
 // Requests that are accepted later than this may still run when the process is killed.
 constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2900);
-// The process exits by itself this long before it would be killed.
+// Requests that are complete later than this are refused: they may not end before the process does.
+constexpr Duration kServeAfterStop = std::chrono::milliseconds(3000);
+// Open requests are ended this long before the process would be killed.
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+// The process exits by itself this long before it would be killed. Before, the last answers are
+// written.
+constexpr Duration kExitMargin = std::chrono::milliseconds(150);
 // TCP data without acknowledgement reveals a dead server; retries must start within a second.
 constexpr Duration kUnacknowledgedTimeout = std::chrono::milliseconds(1000);
 constexpr std::chrono::seconds kProbeInterval { 1 };
@@ -623,13 +628,17 @@
 void Gateway::continueShutdown()
 {
     const auto elapsed = monotonicNow() - *stopRequestedAt_;
-    const auto limit = settings_.shutdownGrace - kStopMargin;
     // New requests arrive and are served until the load balancer has noticed the unready state.
     if (elapsed < kAcceptAfterStop)
         return;
     callers_->stopAccepting();
+    services_.isStopping = elapsed >= kServeAfterStop;
+    if (elapsed >= settings_.shutdownGrace - kStopMargin) {
+        for (const auto &request : std::vector(services_.open.begin(), services_.open.end()))
+            request->stop();
+    }
     const bool isIdle = services_.open.empty() && callers_->connectionCount() == 0;
-    if (!isIdle && elapsed < limit)
+    if (!isIdle && elapsed < settings_.shutdownGrace - kExitMargin)
         return;
     log_.write(LogLine("shutdown_finished").add("open", services_.open.size()).text());
     exchange_->reportShutdown();
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -81,6 +81,7 @@
     std::function<void(KnownServer &)> serverLeaves;
 
     std::unordered_set<std::shared_ptr<ForwardedRequest>> open; //!< Without a final response.
+    bool isStopping = false; //!< New requests are refused, since the router will stop soon.
 };
 
 } // namespace crocusport
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -19,14 +19,17 @@
 
 constexpr auto kFormats = formatTable<platform::PlatformFormats>();
 
+constexpr int kTimeoutMs = 2000;
+constexpr int kLongTimeoutMs = 20'000;
+
 Json routeJson(const std::string &kind, const std::string &wireKind, bool isResumable,
-               int maxAttempts)
+               int maxAttempts, int timeoutMs = kTimeoutMs)
 {
     return { { "name", kind },
              { "host", "app.example" },
              { "pathPrefix", "/" + kind + "/" },
              { "kind", wireKind },
-             { "timeoutMs", 2000 },
+             { "timeoutMs", timeoutMs },
              { "targetLatencyMs", 400 },
              { "gapAimMs", 200 },
              { "priority", 1 },
@@ -125,7 +128,8 @@
         { "routes",
           { routeJson("safe", "safe", false, 2), routeJson("unsafe", "unsafe", false, 1),
             routeJson("stream", "stream", true, 2), routeJson("patient", "stream", true, 3),
-            routeJson("fragile", "stream", false, 1) } },
+            routeJson("fragile", "stream", false, 1),
+            routeJson("lasting", "unsafe", false, 1, kLongTimeoutMs) } },
         { "services",
           { { { "name", "pool" }, { "healthPath", "/health" }, { "maxConns", 100 } } } },
         { "limits",
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -73,7 +73,7 @@
     bool serve();
     /*!
         Returns the bytes of a request with the key \a key to the route of \a kind ("safe",
-        "unsafe", "stream", "patient", "fragile"). \a extra holds further header lines.
+        "unsafe", "stream", "patient", "fragile", "lasting"). \a extra holds further header lines.
     */
     static std::string request(const std::string &kind, const std::string &extra = {},
                                const std::string &key = "key-1");
