ClientConnection: Limit incomplete response heads to 16 KiB

Cause: an incomplete head, chunk header or trailer could hold 64 KiB for as long as its request. Measured on crocusport-gateway (release, own process, stand-in store and server): with 2,300 heads that stop at 63,000 bytes the process has 168 MB; the smallest hosts have 160 MB. Change: the limit is 16 KiB, for the gateway and crocusportd. Result: two new cases in testhttpclient.cpp, red before (ProgressTimeout), green now.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -63,7 +63,7 @@
     ClosedBeforeResponse, //!< No byte of a response; the server may have received the request.
     ClosedMidResponse,    //!< Part of a response, or a close-delimited one that is not accepted.
     ProgressTimeout,      //!< No progress for HttpCallRequest::progressTimeout.
-    Malformed,            //!< Also a response head over 64 KiB, or a handler that has thrown.
+    Malformed,            //!< Also a response head over 16 KiB, or a handler that has thrown.
     TooLarge,
     Withdrawn, //!< Nothing sent: HttpCallHandlers::onReady returned false.
 };
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -25,7 +25,8 @@
 
 namespace {
 
-constexpr std::uint32_t kMaxResponseHeadBytes = 64U * 1024;
+// Thousands of responses may hold an incomplete head at the same time.
+constexpr std::uint32_t kMaxResponseHeadBytes = 16U * 1024;
 // The parser consumes heads, chunk headers and trailers only when they are complete. This limit
 // keeps an incomplete one from growing without bound.
 constexpr std::size_t kMaxUnparsedBytes = kMaxResponseHeadBytes;
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -129,6 +129,8 @@
         { chunked + "5\r\nhelloworld\r\n0\r\n\r\n", HttpFailure::Malformed },
         { "HTTP/1.1 200 OK\r\nX: " + std::string(70'000, 'a') + "\r\n\r\n",
           HttpFailure::Malformed },
+        { "HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'a'), HttpFailure::Malformed },
+        { chunked + "1\r\na\r\n0\r\nX: " + std::string(20'000, 'a'), HttpFailure::Malformed },
         { "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'a'),
           HttpFailure::TooLarge },
         { chunked + "65\r\n" + std::string(101, 'a') + "\r\n0\r\n\r\n", HttpFailure::TooLarge },
