ServiceCall, EngineCall: Share the memory for incomplete answers

Cause: crocusportd kept up to limits.max_response_bytes (64 MiB) of each of up to limits.max_streams (5,000) answers, so a few servers that send without end could use up a host's memory.

Bodies of plain services, incomplete events, error texts and the text of whole chat answers of crocusportd hold shares of it; a call over the limit ends with TooLarge. New setting limits.answer_memory_bytes, 24 MiB.

Result: "Many servers send answers without end at the same time" (testservercalls.cpp): red with the checks disabled (body with length, and with neither length nor chunks, for engines and services: 0 of 40 calls end), green with them.

--- a/include/crocusport/protocol/settings.h
+++ b/include/crocusport/protocol/settings.h
@@ -32,6 +32,7 @@
     std::size_t maxBodyBytes = 0;
     std::size_t maxConnections = 0;
     std::size_t maxResponseBytes = 0;
+    std::size_t answerMemoryBytes = 0; //!< Shared by all responses that are not complete.
     std::size_t maxStreams = 0;
     Milliseconds idleTimeout {};
 };
--- a/include/crocusport/protocol/ssereader.h
+++ b/include/crocusport/protocol/ssereader.h
@@ -40,6 +40,8 @@
 
     //! Whether an event has begun; at the end of a stream it is incomplete and was not passed on.
     bool hasPartialEvent() const { return eventBytes_ > 0 || !partialLine_.empty(); }
+    //! Returns the memory that an incomplete event takes.
+    std::size_t pendingBytes() const { return partialLine_.size() + dataBuffer_.size(); }
     //! Last event id received, for resuming.
     const std::string &lastEventId() const { return lastEventId_; }
 
--- a/src/daemon/backendcallrequest.cpp
+++ b/src/daemon/backendcallrequest.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-BackendCallRequest makeBackendCallRequest(const Settings &settings, const HttpExchange &exchange,
-                                          const BackendServer &server)
+BackendCallRequest makeBackendCallRequest(const Settings &settings, AnswerMemory &answerMemory,
+                                          const HttpExchange &exchange, const BackendServer &server)
 {
     BackendCallRequest request;
     request.server = server;
@@ -33,6 +33,7 @@
     request.probeTimeout = settings.timeouts.connect;
     request.maxResponseBytes = settings.limits.maxResponseBytes;
     request.maxEventBytes = kMaxEventBytes;
+    request.answerMemory = &answerMemory;
     return request;
 }
 
--- a/src/daemon/callerresponse.cpp
+++ b/src/daemon/callerresponse.cpp
@@ -6,15 +6,16 @@
 
 CallerResponse::CallerResponse(std::shared_ptr<HttpExchange> exchange, RequestId request,
                                ResponseForm form, std::size_t maxWholeBytes,
-                               std::size_t maxBufferedBytes)
+                               std::size_t maxBufferedBytes, AnswerMemory &answerMemory)
     : exchange_(std::move(exchange)), request_(std::move(request)), form_(form),
-      maxWholeBytes_(maxWholeBytes), maxBufferedBytes_(maxBufferedBytes), assembler_(maxWholeBytes)
+      maxWholeBytes_(maxWholeBytes), maxBufferedBytes_(maxBufferedBytes), assembler_(maxWholeBytes),
+      heldAnswer_(answerMemory)
 { }
 
 bool CallerResponse::addEvent(const SseEvent &event)
 {
     if (form_ == ResponseForm::Whole)
-        return assembler_.add(event.data);
+        return assembler_.add(event.data) && heldAnswer_.resize(assembler_.contentBytes());
     if (!exchange_->isStarted())
         exchange_->startStream(200,
                                { { "Content-Type", "text/event-stream" },
@@ -29,6 +30,7 @@
 void CallerResponse::discardEvents()
 {
     assembler_ = ChatAssembler(maxWholeBytes_);
+    heldAnswer_.release();
 }
 
 void CallerResponse::finish(const AnswerStatus &status)
--- a/src/daemon/callerresponse.h
+++ b/src/daemon/callerresponse.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_CALLERRESPONSE_H
 
 #include "answer.h"
+#include "answermemory.h"
 #include "chatassembler.h"
 
 #include "crocusport/protocol/ssereader.h"
@@ -28,7 +29,8 @@
 {
 public:
     CallerResponse(std::shared_ptr<HttpExchange> exchange, RequestId request, ResponseForm form,
-                   std::size_t maxWholeBytes, std::size_t maxBufferedBytes);
+                   std::size_t maxWholeBytes, std::size_t maxBufferedBytes,
+                   AnswerMemory &answerMemory);
 
     //! Adds one event of the engine's stream. Returns false when the answer cannot go on: it is too
     //! large, or the caller reads too slowly.
@@ -50,6 +52,7 @@
     std::size_t maxWholeBytes_;
     std::size_t maxBufferedBytes_;
     ChatAssembler assembler_;
+    AnswerMemory::Share heldAnswer_; //!< For the text that assembler_ collects.
     std::string eventText_;
 };
 
--- a/src/daemon/chatassembler.h
+++ b/src/daemon/chatassembler.h
@@ -23,6 +23,7 @@
 
     //! Adds a chunk object's text. Returns false when it is not a chunk or the answer is too large.
     bool add(std::string_view chunk);
+    std::size_t contentBytes() const { return content_.size(); }
     //! The chat completion object as JSON text.
     std::string answer() const;
 
--- a/src/daemon/enginecall.cpp
+++ b/src/daemon/enginecall.cpp
@@ -23,7 +23,8 @@
 EngineCall::EngineCall(HttpClient &client, BackendCallRequest request, EventHandler onEvent,
                        EndHandler onEnd)
     : client_(client), request_(std::move(request)), onEvent_(std::move(onEvent)),
-      onEnd_(std::move(onEnd)), reader_(request_.maxEventBytes), started_(monotonicNow())
+      onEnd_(std::move(onEnd)), reader_(request_.maxEventBytes),
+      heldAnswer_(*request_.answerMemory), started_(monotonicNow())
 {
     sendFirst();
 }
@@ -85,11 +86,20 @@
         return;
     }
     if (result_.status != 200) {
-        if (result_.body.size() + data.size() <= kMaxErrorBodyBytes)
+        const auto size = result_.body.size() + data.size();
+        if (size <= kMaxErrorBodyBytes && heldAnswer_.resize(size))
             result_.body.append(data);
         return;
     }
     isMalformed_ = !reader_.read(data, [this](const SseEvent &event) { onStreamEvent(event); });
+    if (heldAnswer_.resize(reader_.pendingBytes()))
+        return;
+    call_.reset();
+    HttpCallEnd tooLarge;
+    tooLarge.failure = HttpFailure::TooLarge;
+    tooLarge.status = result_.status;
+    tooLarge.isRequestSent = true;
+    onCallEnd(tooLarge);
 }
 
 void EngineCall::onStreamEvent(const SseEvent &event)
--- a/src/daemon/enginecall.h
+++ b/src/daemon/enginecall.h
@@ -51,6 +51,7 @@
     EventHandler onEvent_;
     EndHandler onEnd_;
     SseReader reader_;
+    AnswerMemory::Share heldAnswer_; //!< For what reader_ and result_ hold.
     ResponseHead head_;
     ResponseOwner owner_ = ResponseOwner::Unknown;
     BackendCallResult result_;
--- a/src/daemon/requestsession.cpp
+++ b/src/daemon/requestsession.cpp
@@ -68,8 +68,9 @@
 
 std::unique_ptr<CallerResponse> RequestSession::makeResponse(ResponseForm form) const
 {
-    return std::make_unique<CallerResponse>(
-        exchange_, id_, form, services_.settings.limits.maxResponseBytes, kMaxBufferedBytes);
+    return std::make_unique<CallerResponse>(exchange_, id_, form,
+                                            services_.settings.limits.maxResponseBytes,
+                                            kMaxBufferedBytes, services_.answerMemory);
 }
 
 Result<void> RequestSession::admit()
@@ -287,7 +288,8 @@
 
 BackendCallRequest RequestSession::makeCallRequest(const BackendServer &server) const
 {
-    auto request = makeBackendCallRequest(services_.settings, *exchange_, server);
+    auto request =
+        makeBackendCallRequest(services_.settings, services_.answerMemory, *exchange_, server);
     request.attempt = attemptId_;
     request.body = forwardBody_;
     if (isRepeatable())
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -75,6 +75,7 @@
     HostListClient hostList_;
     ConfigurationReplica configuration_;
     ClaimRegistry<StoreClient> claims_;
+    AnswerMemory answerMemory_ { settings_.limits.answerMemoryBytes };
     BackendDirectory backends_;
     RequestMetrics metrics_;
     RequestJournal journal_;
--- a/src/daemon/routerservices.h
+++ b/src/daemon/routerservices.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_ROUTERSERVICES_H
 #define CROCUSPORT_ROUTERSERVICES_H
 
+#include "answermemory.h"
 #include "backenddirectory.h"
 #include "requestidgenerator.h"
 #include "requestjournal.h"
@@ -40,6 +41,7 @@
     RetryBudgets &retryBudgets;
     RateLimiter &teamLimits;
     ClaimRegistry<StoreClient> &claims;
+    AnswerMemory &answerMemory;
     //! Applies evidence about a backend server here and spreads it to the other routers.
     std::function<void(const Observation &observation)> observe;
     bool isStopping = false;
--- a/src/daemon/servicecall.cpp
+++ b/src/daemon/servicecall.cpp
@@ -5,7 +5,8 @@
 namespace crocusport {
 
 ServiceCall::ServiceCall(HttpClient &client, BackendCallRequest request, EndHandler onEnd)
-    : client_(client), request_(std::move(request)), onEnd_(std::move(onEnd))
+    : client_(client), request_(std::move(request)), onEnd_(std::move(onEnd)),
+      heldAnswer_(*request_.answerMemory)
 {
     HttpCallRequest call;
     call.address = request_.server.address;
@@ -20,7 +21,7 @@
     call.maxResponseBytes = request_.maxResponseBytes;
     HttpCallHandlers handlers;
     handlers.onHead = [this](int status, const HttpHeaders &headers) { onHead(status, headers); };
-    handlers.onBody = [this](std::string_view data) { result_.body.append(data); };
+    handlers.onBody = [this](std::string_view data) { onBody(data); };
     handlers.onEnd = [this](const HttpCallEnd &end) { onCallEnd(end); };
     call_ = client_.start(std::move(call), std::move(handlers));
 }
@@ -35,6 +36,20 @@
         result_.condition = BackendCondition::Leaving;
 }
 
+void ServiceCall::onBody(std::string_view data)
+{
+    if (heldAnswer_.resize(result_.body.size() + data.size())) {
+        result_.body.append(data);
+        return;
+    }
+    call_.reset();
+    HttpCallEnd tooLarge;
+    tooLarge.failure = HttpFailure::TooLarge;
+    tooLarge.status = result_.status;
+    tooLarge.isRequestSent = true;
+    onCallEnd(tooLarge);
+}
+
 void ServiceCall::onCallEnd(const HttpCallEnd &end)
 {
     result_.failure = end.failure;
--- a/src/daemon/servicecall.h
+++ b/src/daemon/servicecall.h
@@ -26,6 +26,7 @@
 
 private:
     void onHead(int status, const HttpHeaders &headers);
+    void onBody(std::string_view data);
     void onCallEnd(const HttpCallEnd &end);
     void finish();
 
@@ -33,6 +34,7 @@
     BackendCallRequest request_;
     EndHandler onEnd_;
     BackendCallResult result_;
+    AnswerMemory::Share heldAnswer_;
     ResponseHead head_;
     ResponseOwner owner_ = ResponseOwner::Unknown;
     std::unique_ptr<HttpCall> call_;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -146,6 +146,10 @@
         integerEntry<Draft>("limits.max_response_bytes", "bytes", "67108864", 1024, kGibibyte,
                             "Largest response of a backend server.",
                             kStore<&Settings::limits, &LimitSettings::maxResponseBytes>),
+        integerEntry<Draft>("limits.answer_memory_bytes", "bytes", "25165824", 1024, kGibibyte,
+                            "Memory for responses of backend servers that are not complete, beyond "
+                            "16 kB for each. One response gets at most a third of it.",
+                            kStore<&Settings::limits, &LimitSettings::answerMemoryBytes>),
         integerEntry<Draft>("limits.max_streams", "", "5000", 1, 1'000'000,
                             "Most requests in progress at the same time.",
                             kStore<&Settings::limits, &LimitSettings::maxStreams>),
--- a/tests/daemon/testservercalls.cpp
+++ b/tests/daemon/testservercalls.cpp
@@ -8,8 +8,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 using namespace crocusport;
 
@@ -28,7 +30,7 @@
 public:
     Calls() : server(runner.loop(), "", RawServer::Ending::KeepOpen), client_(runner.loop(), {}) { }
 
-    BackendCallRequest request(const std::string &attempt) const
+    BackendCallRequest request(const std::string &attempt)
     {
         BackendCallRequest request;
         request.server.name = BackendServerName("engine-1");
@@ -40,6 +42,7 @@
         request.connectTimeout = request.progressTimeout = request.probeTimeout =
             std::chrono::seconds(1);
         request.maxResponseBytes = request.maxEventBytes = 100'000;
+        request.answerMemory = &answerMemory;
         return request;
     }
     void startEngineCall(const std::string &attempt)
@@ -66,8 +69,11 @@
         return result->end;
     }
 
+    static constexpr std::size_t kSharedBytes = 150'000;
+
     LoopRunner runner;
     RawServer server;
+    AnswerMemory answerMemory { kSharedBytes };
     std::optional<BackendCallResult> result;
     std::string events;
 
@@ -130,3 +136,41 @@
     REQUIRE(calls.result->end == BackendCallEnd::Lost);
     REQUIRE(calls.events == "piece1");
 }
+
+// Guards against a host that runs out of memory because of malfunctioning servers.
+SCENARIO("Many servers send answers without end at the same time")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const auto begin = GENERATE_COPY(
+        as<std::string> {}, head + "Content-Length: 100000\r\n\r\ndata: ", head + "\r\ndata: ");
+    const bool isEngine = GENERATE(true, false);
+    CAPTURE(begin, isEngine);
+    constexpr int kCalls = 40;
+    constexpr std::size_t kSentBytes = 90'000;
+    Calls calls;
+    HttpClient client(calls.runner.loop(), {});
+    std::vector<std::unique_ptr<EngineCall>> engineCalls;
+    std::vector<std::unique_ptr<ServiceCall>> serviceCalls;
+    int refused = 0;
+    const auto onEnd = [&](const BackendCallResult &result) {
+        refused += result.end == BackendCallEnd::TooLarge ? 1 : 0;
+    };
+    for (int i = 0; i < kCalls; ++i) {
+        const auto request = calls.request("attempt-" + std::to_string(i));
+        if (isEngine)
+            engineCalls.push_back(std::make_unique<EngineCall>(
+                client, request, [](const SseEvent & /*event*/) {}, onEnd));
+        else
+            serviceCalls.push_back(std::make_unique<ServiceCall>(client, request, onEnd));
+    }
+    REQUIRE(calls.runner.runUntil([&] { return calls.server.requestCount() == kCalls; }));
+    calls.server.sendToAll(begin);
+    const std::string block(10'000, 'a');
+    for (std::size_t sent = 0; sent < kSentBytes; sent += block.size()) {
+        calls.server.sendToAll(block);
+        calls.runner.runFor(Milliseconds(10));
+        REQUIRE(calls.answerMemory.borrowedBytes() <= Calls::kSharedBytes);
+    }
+    // A third of the shared memory is the most for one answer.
+    REQUIRE(refused >= kCalls - static_cast<int>(AnswerMemory::kMaxPartOfShared));
+}
