Soak: Let entries of servers expire while the store is out

Now entries may expire in an outage of over 1.5 s; they are back within 1.8 s after it, a quarter of them as those of restarted servers. These draws have a generator of their own, so that a seed draws the other faults as before.

--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -34,6 +34,10 @@
 constexpr const char *kCrashingPartPrefix = "dead";
 // Time from the crash of a server until it accepts connections again.
 constexpr Duration kServerRestartTime = std::chrono::milliseconds(300);
+// Entries of servers that cannot be renewed expire after this time.
+constexpr Duration kLeaseTime = std::chrono::milliseconds(1500);
+// Expired entries are back within this time after an outage.
+constexpr int kMaxReturnMs = 1800;
 // Interval at which ended gateways are found and restarted.
 constexpr Duration kRouterCheckInterval = std::chrono::milliseconds(300);
 // Statuses with which servers fail requests that resume a stream. The second 503, at the index
@@ -100,10 +104,10 @@
 };
 
 Soak::Soak(EventLoop &loop, SoakOptions options)
-    : loop_(loop), options_(std::move(options)), random_(options_.seed), store_(loop),
-      client_(loop, {}), requestTimer_(loop, [this] { sendRequest(); }),
-      faultTimer_(loop, [this] { injectFault(); }), restartTimer_(loop, [this] { restartEnded(); }),
-      started_(monotonicNow())
+    : loop_(loop), options_(std::move(options)), random_(options_.seed),
+      expiryRandom_(options_.seed), store_(loop), client_(loop, {}),
+      requestTimer_(loop, [this] { sendRequest(); }), faultTimer_(loop, [this] { injectFault(); }),
+      restartTimer_(loop, [this] { restartEnded(); }), started_(monotonicNow())
 {
     for (int i = 0; i < options_.servers; ++i) {
         auto server = std::make_unique<Server>();
@@ -416,11 +420,7 @@
     auto &server = *servers_[static_cast<std::size_t>(randomBelow(options_.servers))];
     switch (randomBelow(7)) {
     case 0:
-        note("store unavailable");
-        store_.setMode(randomBelow(2) == 0 ? StandInStore::Mode::Refusing
-                                           : StandInStore::Mode::Silent);
-        after(std::chrono::milliseconds(200 + randomBelow(5000)),
-              [this] { store_.setMode(StandInStore::Mode::Serving); });
+        injectOutage();
         break;
     case 1:
         note("store discards its history");
@@ -452,6 +452,33 @@
     }
 }
 
+// In a long outage, entries of servers may expire. They are back within two seconds after it, some
+// of them as those of servers that have restarted.
+void Soak::injectOutage()
+{
+    store_.setMode(randomBelow(2) == 0 ? StandInStore::Mode::Refusing : StandInStore::Mode::Silent);
+    const auto length = std::chrono::milliseconds(200 + randomBelow(5000));
+    const auto below = [this](int limit) {
+        return std::uniform_int_distribution<int>(0, limit - 1)(expiryRandom_);
+    };
+    const bool doEntriesExpire = length > kLeaseTime && below(2) == 0;
+    note(doEntriesExpire ? "store unavailable, entries expire" : "store unavailable");
+    after(length, [this] { store_.setMode(StandInStore::Mode::Serving); });
+    if (!doEntriesExpire)
+        return;
+    for (const auto &server : servers_) {
+        if (below(4) == 0)
+            continue;
+        after(kLeaseTime, [this, &server] { store_.erase("servers/" + server->name); });
+        const bool isRestarted = below(4) == 0;
+        after(length + std::chrono::milliseconds(below(kMaxReturnMs)),
+              [this, &server, isRestarted] {
+                  server->start += isRestarted ? 1 : 0;
+                  registerServer(*server, "ready");
+              });
+    }
+}
+
 void Soak::injectAnswerFault()
 {
     using Kind = FaultProxy::AnswerFault::Kind;
--- a/tests/platform/soak/soak.h
+++ b/tests/platform/soak/soak.h
@@ -82,6 +82,7 @@
     void injectProcessFault();
     void injectConnectionFault();
     void injectPlatformFault();
+    void injectOutage();
     void injectAnswerFault();
     void endFaults();
     void restartEnded();
@@ -92,6 +93,7 @@
     EventLoop &loop_;
     SoakOptions options_;
     std::mt19937_64 random_;
+    std::mt19937_64 expiryRandom_; //!< Separate, so that older seeds draw the same other faults.
     StandInStore store_;
     SoakCheck check_;
     HttpClient client_;
