teststoreditems: Move to the platform's tests

The tests use keys of the platform, which check-platform-names allows in tests/platform only. No check changes.

--- a/tests/gateway/storereader.cpp
+++ b/tests/platform/storereader.cpp
@@ -112,7 +112,7 @@
     for (const auto number : { 0, 1, 2, 3 }) {
         const auto name = BackendServerName("s" + std::to_string(number));
         const auto found = store.items().find("servers/" + name.value());
-        const auto difference =
+        auto difference =
             serverDifference(name, found == store.items().end() ? nullptr : &found->second);
         if (!difference.empty())
             return difference;
--- a/tests/gateway/storereader.h
+++ b/tests/platform/storereader.h
@@ -1,7 +1,7 @@
 #ifndef CROCUSPORT_STOREREADER_H
 #define CROCUSPORT_STOREREADER_H
 
-#include "modelstore.h"
+#include "../gateway/modelstore.h"
 
 #include "serverdirectory.h"
 #include "storeditems.h"
