StoreMirror: Bound a held removal by the age at which the copy may be used

Cause: since removals are held until the copy is fresh, a removal that was held after a short gap, in which the copy stayed in use, could be held beyond the age limit when the next calls failed, too: with a limit of 2.6 s, requests may be placed by that copy. Change: only an outage in which the copy was too old to be used prolongs the hold.

--- a/src/gateway/storeditems.cpp
+++ b/src/gateway/storeditems.cpp
@@ -104,10 +104,7 @@
 
 void StoredItems::tick(const StoreMirror &mirror, Duration now)
 {
-    if (heldRemovals_.empty() || now < mirror.recoversUntil().value_or(Duration::zero()))
-        return;
-    // The store may be out again, so that the entries could not be written.
-    if (now - mirror.freshAt().value_or(Duration::zero()) > StoreMirror::kOutageTime)
+    if (heldRemovals_.empty() || mirror.mayEntriesReturn(now))
         return;
     for (const auto &name : std::exchange(heldRemovals_, {}))
         parts_.removeServer(name);
--- a/src/gateway/storemirror.cpp
+++ b/src/gateway/storemirror.cpp
@@ -82,10 +82,18 @@
     if (gap <= kOutageTime)
         return;
     const bool wasUsed = gap < maxAge_;
+    wasOutOfUse_ = !wasUsed || (wasOutOfUse_ && at < *recoversUntil_);
     const auto until = at + (wasUsed ? std::min(maxAge_ - gap, kRecoveryTime) : kRecoveryTime);
     recoversUntil_ = std::max(recoversUntil_.value_or(until), until);
 }
 
+bool StoreMirror::mayEntriesReturn(Duration now) const
+{
+    if (!recoversUntil_)
+        return false;
+    return now < *recoversUntil_ || (wasOutOfUse_ && now - *freshAt_ > kOutageTime);
+}
+
 // What other copies need is decided from the items alone. A listing reads items that were written
 // after its revision, so this copy may be ahead of a change that copies behind it still need.
 bool StoreMirror::apply(const StoreChange &change)
--- a/src/gateway/storemirror.h
+++ b/src/gateway/storemirror.h
@@ -86,6 +86,12 @@
         reaches the maximum age.
     */
     std::optional<Duration> recoversUntil() const { return recoversUntil_; }
+    /*!
+        Whether an entry that is missing since an outage may still be written again: before
+        recoversUntil(), and later if the copy is not fresh, since the store may be out again. After
+        a gap in which the copy stayed in use, only recoversUntil() counts.
+    */
+    bool mayEntriesReturn(Duration now) const;
 
     //! Starts a listing and drops the state of an unfinished one.
     void beginListing();
@@ -131,6 +137,7 @@
     StoreRevision relevant_ = 0;
     std::optional<Duration> freshAt_;
     std::optional<Duration> recoversUntil_;
+    bool wasOutOfUse_ = false; //!< The copy was too old to be used before recoversUntil_ was set.
     Duration maxAge_ = std::chrono::milliseconds(1600);
     bool isComplete_ = false;
     std::unordered_set<std::string> listed_;
--- a/tests/platform/storereader.h
+++ b/tests/platform/storereader.h
@@ -33,6 +33,8 @@
                    const std::function<void()> &betweenPages);
     //! Asks \a other for changes. Does nothing if \a other has no copy.
     void readFrom(const StoreReader &other, Duration now);
+    //! Sets the age at which the copy is too old to be used.
+    void setMaxCopyAge(Duration age) { mirror_.setMaxAge(age); }
     void tick(Duration now) { items_.tick(mirror_, now); }
     //! Whether requests may be sent to the server.
     bool uses(const std::string &server) const;
--- a/tests/platform/teststoreditems.cpp
+++ b/tests/platform/teststoreditems.cpp
@@ -289,6 +289,19 @@
             REQUIRE_FALSE(follower.uses("s1"));
         }
     }
+    // Guards against a removal that is held beyond the age at which the copy may be used, because
+    // the calls after a short gap fail, too.
+    WHEN("the store is silent for a time in which the copy stays in use, and again")
+    {
+        reader.setMaxCopyAge(milliseconds(2600));
+        store.erase("servers/s1");
+        now += milliseconds(1200);
+        reader.readStore(store, now, [] {});
+        REQUIRE(reader.uses("s1"));
+        now += milliseconds(1500);
+        reader.tick(now);
+        REQUIRE_FALSE(reader.uses("s1"));
+    }
     // Guards against a router that takes an entry that is back, as it was, for a late copy of the
     // one that was removed.
     WHEN("the entry is removed in calm and comes back as it was")
