StoreMirror, EngineCall, ServiceCall: Tidy after reading the whole change

Change: the description names StoreMirror::mayEntriesReturn(); kOutageTime is private to storemirror.cpp; both calls finish with TooLarge at once.

--- a/src/daemon/enginecall.cpp
+++ b/src/daemon/enginecall.cpp
@@ -95,11 +95,8 @@
     if (heldAnswer_.resize(reader_.pendingBytes()))
         return;
     call_.reset();
-    HttpCallEnd tooLarge;
-    tooLarge.failure = HttpFailure::TooLarge;
-    tooLarge.status = result_.status;
-    tooLarge.isRequestSent = true;
-    onCallEnd(tooLarge);
+    result_.failure = HttpFailure::TooLarge;
+    finish(BackendCallEnd::TooLarge);
 }
 
 void EngineCall::onStreamEvent(const SseEvent &event)
--- a/src/daemon/servicecall.cpp
+++ b/src/daemon/servicecall.cpp
@@ -43,11 +43,10 @@
         return;
     }
     call_.reset();
-    HttpCallEnd tooLarge;
-    tooLarge.failure = HttpFailure::TooLarge;
-    tooLarge.status = result_.status;
-    tooLarge.isRequestSent = true;
-    onCallEnd(tooLarge);
+    result_.body.clear();
+    result_.failure = HttpFailure::TooLarge;
+    result_.end = BackendCallEnd::TooLarge;
+    finish();
 }
 
 void ServiceCall::onCallEnd(const HttpCallEnd &end)
--- a/src/gateway/storeditems.h
+++ b/src/gateway/storeditems.h
@@ -21,9 +21,8 @@
     read them or on the source.
 
     The removal of a backend server's entry is held back after an outage of the store, in which
-    entries expire although their servers run; see StoreMirror::recoversUntil(). It is carried out
-    when a copy that has been confirmed since then still lacks the entry. An outage that begins in
-    the meantime prolongs it.
+    entries expire although their servers run; it is carried out
+    when StoreMirror::mayEntriesReturn() no longer holds, unless the entry is back by then.
 
     Times are from the boot clock. Thread safety: none; use from one thread. The parts must outlive
     the object.
--- a/src/gateway/storemirror.cpp
+++ b/src/gateway/storemirror.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kMaxLogChanges = 1000;
 constexpr std::size_t kMaxLogBytes = 2UL * 1024 * 1024;
 
+// A gap between two confirmations that is longer than this counts as an outage of the store. A
+// shorter one is a single failed call, too short for an entry to expire.
+constexpr Duration kOutageTime = std::chrono::milliseconds(1000);
 // Entries that expired during an outage are written again within this time after the outage.
 constexpr Duration kRecoveryTime = std::chrono::milliseconds(2000);
 
--- a/src/gateway/storemirror.h
+++ b/src/gateway/storemirror.h
@@ -46,20 +46,15 @@
 {
 public:
     /*!
-        Returns whether \a before and \a after, two values of the item \a key, are of the same use
-       to every router, so that a change from one to the other is a heartbeat. Must be an
-       equivalence relation that depends on its arguments only: it decides what other routers are
-       told, and they may know and do other things than this router.
+        Returns whether two values of the item \a key are of the same use to every router, so that
+        a change from \a before to \a after is a heartbeat. It decides what other routers are told,
+        so it must be an equivalence relation and must not depend on the state of this router.
     */
     using SameUse = std::function<bool(const std::string &key, const std::string &before,
                                        const std::string &after)>;
     //! Handles a change of this copy other than a heartbeat.
     using ChangeHandler = std::function<void(const StoreChange &change)>;
 
-    //! A gap between two confirmations that is longer than this counts as an outage of the store. A
-    //! shorter one is a single failed call, too short for an entry to expire.
-    static constexpr Duration kOutageTime = std::chrono::milliseconds(1000);
-
     StoreMirror(SameUse hasSameUse, ChangeHandler onChange)
         : hasSameUse_(std::move(hasSameUse)), onChange_(std::move(onChange))
     { }
