Gateway, platform: Add the formats and settings of duties

Cause: usage reports and orders of servers need calls to the platform, conditional writes and leases in the store, and the prices and limits of pools. Result: test_gateway and test_platform pass in the release build.

--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -13,6 +13,23 @@
 
 namespace crocusport {
 
+/*!
+    Calls to the platform that are the duty of one router at a time. Without an address, or if no
+    duty is enabled, the router performs none.
+*/
+struct DutySettings
+{
+    SocketAddress address;
+    bool reportsUsage = false;  //!< Reports the requests of each team.
+    bool ordersServers = false; //!< Orders backend servers for pools that allow it.
+    double callsPerSecond = 0;  //!< Limit of the platform, for all routers together.
+    Milliseconds lease {}; //!< Time for which the platform expects one holder after its last call.
+    std::chrono::seconds usageWindow {}; //!< Length of the windows of usage reports.
+    std::chrono::seconds usageDelay {};  //!< Time from the end of a window until its report is due.
+
+    bool isEnabled() const { return !address.value().empty() && (reportsUsage || ordersServers); }
+};
+
 /*!
     The settings of a gateway process. The table of keys in gatewaysettings.cpp holds the default
     values; docs/gateway-settings.md contains the reference that is generated from that table.
@@ -44,6 +61,7 @@
     Milliseconds serverHeartbeat {}; //!< Time after which a server writes its entry again.
     std::size_t answerMemoryMb = 24; //!< For responses that cannot be forwarded yet.
     Milliseconds reportInterval {};  //!< Minimum time between two load reports.
+    DutySettings duties;
 
     /*!
         Reads the TOML file \a path. Each of \a overrides is a line of TOML whose value replaces
--- a/include/crocusport/gateway/routingtable.h
+++ b/include/crocusport/gateway/routingtable.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,12 +57,24 @@
     std::uint32_t tokensPerEvent = 1;
 };
 
+//! Limits and prices of the servers that can be ordered for a pool.
+struct PoolScaling
+{
+    std::uint32_t min = 0; //!< Fewest servers of each zone, of both kinds together.
+    std::uint32_t max = 0; //!< Most servers of each zone, of both kinds together.
+    Duration bootTime {};  //!< Time from an order until the new servers serve.
+    //! Price of a spot server as a share of that of a regular one; none: there are no spot servers.
+    std::optional<double> spotCost;
+    std::map<AvailabilityZone, double> zoneCosts; //!< Price of a server second; others cost 1.
+};
+
 struct PoolEntry
 {
     PoolName name;
     std::string healthPath;
     int maxConnections = 0; //!< Limit for each backend server, over all routers.
     std::optional<EngineProfile> engine;
+    std::optional<PoolScaling> scaling; //!< None: the pool's servers cannot be ordered.
 };
 
 struct TeamEntry
--- a/include/crocusport/gateway/serverentry.h
+++ b/include/crocusport/gateway/serverentry.h
@@ -22,6 +22,7 @@
     Milliseconds coldRemaining {}; //!< Time until a server that has just started is at full speed.
     StartNumber start;             //!< Increases when a server of this name starts again.
     std::uint64_t sequence = 0;    //!< Increases with each entry that one start writes.
+    bool isSpot = false;           //!< The platform may take the server away at short notice.
 
     //! Whether the entry equals \a other, an entry of the same name, in all fields except
     //! coldRemaining and sequence.
--- a/include/crocusport/gateway/wiremessages.h
+++ b/include/crocusport/gateway/wiremessages.h
@@ -8,6 +8,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -80,6 +81,31 @@
     bool hasMore = false;
 };
 
+//! The right under which a router performs a duty.
+struct DutyAuthority
+{
+    RouterName holder;
+    FencingToken token; //!< Of two holders, the later one has the larger token.
+};
+
+//! The requests of each team that began to run at backend servers in a window of true time.
+struct UsageReport
+{
+    std::uint64_t window = 0; //!< Number of the window, counted from the start of 1970.
+    std::map<TeamName, std::uint64_t> counts;
+};
+
+//! An order that a pool shall have  count servers of one kind in a zone.
+struct ServerOrder
+{
+    PoolName pool;
+    AvailabilityZone zone;
+    bool isSpot = false;
+    std::uint32_t count = 0;
+
+    bool operator==(const ServerOrder &) const = default;
+};
+
 /*!
     The message formats of a deployment: header names, keys and encodings that callers, backend
     servers and the store use. All functions are pure and contain no routing decisions.
@@ -88,7 +114,9 @@
 concept WireFormats = requires(const HttpExchange &exchange, const IncomingRequest &request,
                                const AttemptHead &head, const HttpHeaders &headers,
                                const std::string &text, std::string_view body,
-                               StoreRevision revision)
+                               StoreRevision revision, const CompareAndSwap &swap, LeaseId lease,
+                               Milliseconds duration, const UsageReport &usage,
+                               const ServerOrder &order, const DutyAuthority &authority)
 {
     {
         T::decodeRequest(exchange)
@@ -120,6 +148,39 @@
     {
         T::removeCall(text)
         } -> std::same_as<HttpCallRequest>;
+    {
+        T::itemCall(text)
+        } -> std::same_as<HttpCallRequest>;
+    {
+        T::decodeItem(body)
+        } -> std::same_as<Result<StoreEntry>>;
+    {
+        T::swapCall(swap)
+        } -> std::same_as<HttpCallRequest>;
+    {
+        T::decodeSwap(swap, 200, body)
+        } -> std::same_as<Result<SwapReply>>;
+    {
+        T::leaseCall(duration)
+        } -> std::same_as<HttpCallRequest>;
+    {
+        T::decodeLease(body)
+        } -> std::same_as<Result<LeaseId>>;
+    {
+        T::keepLeaseCall(lease)
+        } -> std::same_as<HttpCallRequest>;
+    {
+        T::endLeaseCall(lease)
+        } -> std::same_as<HttpCallRequest>;
+    {
+        T::usageBody(usage)
+        } -> std::same_as<std::string>;
+    {
+        T::usageCall(text, authority)
+        } -> std::same_as<HttpCallRequest>;
+    {
+        T::orderCall(order, authority)
+        } -> std::same_as<HttpCallRequest>;
     {
         T::isConfigurationKey(text)
         } -> std::same_as<bool>;
--- a/src/gateway/formattable.h
+++ b/src/gateway/formattable.h
@@ -19,6 +19,17 @@
     Result<StorePage> (*decodeWatch)(std::string_view);
     HttpCallRequest (*putCall)(const std::string &, const std::string &);
     HttpCallRequest (*removeCall)(const std::string &);
+    HttpCallRequest (*itemCall)(const std::string &);
+    Result<StoreEntry> (*decodeItem)(std::string_view);
+    HttpCallRequest (*swapCall)(const CompareAndSwap &);
+    Result<SwapReply> (*decodeSwap)(const CompareAndSwap &, int, std::string_view);
+    HttpCallRequest (*leaseCall)(Milliseconds);
+    Result<LeaseId> (*decodeLease)(std::string_view);
+    HttpCallRequest (*keepLeaseCall)(LeaseId);
+    HttpCallRequest (*endLeaseCall)(LeaseId);
+    std::string (*usageBody)(const UsageReport &);
+    HttpCallRequest (*usageCall)(const std::string &, const DutyAuthority &);
+    HttpCallRequest (*orderCall)(const ServerOrder &, const DutyAuthority &);
     bool (*isConfigurationKey)(const std::string &);
     Result<RoutingConfiguration> (*decodeConfiguration)(std::string_view);
     std::optional<BackendServerName> (*serverNameOfKey)(const std::string &);
@@ -28,11 +39,31 @@
 template<WireFormats Formats>
 constexpr FormatTable formatTable()
 {
-    return { Formats::decodeRequest,   Formats::attemptHeaders,     Formats::decodeAnswer,
-             Formats::readyTarget,     Formats::rangeCall,          Formats::decodeRange,
-             Formats::watchCall,       Formats::decodeWatch,        Formats::putCall,
-             Formats::removeCall,      Formats::isConfigurationKey, Formats::decodeConfiguration,
-             Formats::serverNameOfKey, Formats::decodeServer };
+    return { Formats::decodeRequest,
+             Formats::attemptHeaders,
+             Formats::decodeAnswer,
+             Formats::readyTarget,
+             Formats::rangeCall,
+             Formats::decodeRange,
+             Formats::watchCall,
+             Formats::decodeWatch,
+             Formats::putCall,
+             Formats::removeCall,
+             Formats::itemCall,
+             Formats::decodeItem,
+             Formats::swapCall,
+             Formats::decodeSwap,
+             Formats::leaseCall,
+             Formats::decodeLease,
+             Formats::keepLeaseCall,
+             Formats::endLeaseCall,
+             Formats::usageBody,
+             Formats::usageCall,
+             Formats::orderCall,
+             Formats::isConfigurationKey,
+             Formats::decodeConfiguration,
+             Formats::serverNameOfKey,
+             Formats::decodeServer };
 }
 
 } // namespace crocusport
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -16,6 +16,7 @@
 constexpr double kMaxSeeds = 100;
 constexpr double kMaxAnswersMb = 65'536;
 constexpr double kMaxRetrySlack = 1'000'000;
+constexpr double kMaxDutyCalls = 100'000;
 constexpr std::array<std::string_view, 2> kYesNo = { "false", "true" };
 
 template<auto... path>
@@ -123,12 +124,57 @@
     };
 }
 
+Entry switchEntry(std::string_view name, std::string_view description,
+                  void (*store)(GatewaySettings &, const KeyValue &))
+{
+    return choiceEntry<GatewaySettings>(name, KeyNeed::Optional, "false", kYesNo, description,
+                                        store);
+}
+
+std::vector<Entry> dutyEntries()
+{
+    return {
+        { { "duties.address",
+            KeyType::Address,
+            KeyNeed::Optional,
+            {},
+            {},
+            0,
+            0,
+            {},
+            "Where the platform takes usage reports and orders of servers; none: no duties." },
+          kStore<&GatewaySettings::duties, &DutySettings::address> },
+        switchEntry("duties.usage", "Whether one router reports the requests of each team.",
+                    [](GatewaySettings &settings, const KeyValue &value) {
+                        settings.duties.reportsUsage = choiceOf<bool>(kYesNo, value);
+                    }),
+        switchEntry("duties.scale", "Whether one router orders servers for pools that allow it.",
+                    [](GatewaySettings &settings, const KeyValue &value) {
+                        settings.duties.ordersServers = choiceOf<bool>(kYesNo, value);
+                    }),
+        numberEntry("duties.calls_per_s", "10", kMaxDutyCalls,
+                    "Calls a second that the platform accepts from all routers together.",
+                    kStore<&GatewaySettings::duties, &DutySettings::callsPerSecond>),
+        integerEntry<GatewaySettings>("duties.lease_ms", "ms", "3000", 1000, kMinuteMs,
+                                      "Lease of the router that performs the duties.",
+                                      kStore<&GatewaySettings::duties, &DutySettings::lease>),
+        integerEntry<GatewaySettings>("duties.usage_window_s", "s", "5", 1, kHourS,
+                                      "Length of the windows of usage reports.",
+                                      kStore<&GatewaySettings::duties, &DutySettings::usageWindow>),
+        integerEntry<GatewaySettings>("duties.usage_delay_s", "s", "10", 1, kHourS,
+                                      "Time from the end of a window until its report is due.",
+                                      kStore<&GatewaySettings::duties, &DutySettings::usageDelay>),
+    };
+}
+
 const std::vector<Entry> &entries()
 {
     static const auto kEntries = [] {
         auto all = identityEntries();
         for (auto &entry : boundEntries())
             all.push_back(entry);
+        for (auto &entry : dutyEntries())
+            all.push_back(entry);
         return all;
     }();
     return kEntries;
