--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -65,8 +65,9 @@
 
     /*!
         Reads the TOML file \a path. Each of \a overrides is a line of TOML whose value replaces
-       that of the file. Fails with FileUnreadable, or with BadSettings; the message of BadSettings
-       gives the file, line, key and allowed values for each fault. Safe from any thread.
+        that of the file; one with an empty value replaces nothing. Fails with FileUnreadable, or
+       with BadSettings; the message of BadSettings gives the file, line, key and allowed values for
+       each fault. Safe from any thread.
     */
     static Result<GatewaySettings> load(const std::string &path,
                                         const std::vector<std::string> &overrides = {});
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "keytable.h"
 
+#include <algorithm>
 #include <array>
 
 namespace crocusport {
@@ -17,6 +18,7 @@
 constexpr double kMaxAnswersMb = 65'536;
 constexpr double kMaxRetrySlack = 1'000'000;
 constexpr double kMaxDutyCalls = 100'000;
+constexpr double kMaxDutyNames = 1000;
 constexpr std::array<std::string_view, 2> kYesNo = { "false", "true" };
 
 template<auto... path>
@@ -124,11 +126,17 @@
     };
 }
 
-Entry switchEntry(std::string_view name, std::string_view description,
-                  void (*store)(GatewaySettings &, const KeyValue &))
+// The names of duties that this version does not know are ignored: the platform may have more.
+void storeDuties(GatewaySettings &settings, const KeyValue &value)
 {
-    return choiceEntry<GatewaySettings>(name, KeyNeed::Optional, "false", kYesNo, description,
-                                        store);
+    const auto &text = std::get<std::string>(value);
+    for (std::size_t begin = 0; begin <= text.size();) {
+        const auto end = std::min(text.find(',', begin), text.size());
+        const std::string_view name(text.data() + begin, end - begin);
+        settings.duties.reportsUsage = settings.duties.reportsUsage || name == "usage";
+        settings.duties.ordersServers = settings.duties.ordersServers || name == "scale";
+        begin = end + 1;
+    }
 }
 
 std::vector<Entry> dutyEntries()
@@ -144,14 +152,17 @@
             {},
             "Where the platform takes usage reports and orders of servers; none: no duties." },
           kStore<&GatewaySettings::duties, &DutySettings::address> },
-        switchEntry("duties.usage", "Whether one router reports the requests of each team.",
-                    [](GatewaySettings &settings, const KeyValue &value) {
-                        settings.duties.reportsUsage = choiceOf<bool>(kYesNo, value);
-                    }),
-        switchEntry("duties.scale", "Whether one router orders servers for pools that allow it.",
-                    [](GatewaySettings &settings, const KeyValue &value) {
-                        settings.duties.ordersServers = choiceOf<bool>(kYesNo, value);
-                    }),
+        { { "duties.names",
+            KeyType::Text,
+            KeyNeed::Optional,
+            {},
+            {},
+            0,
+            kMaxDutyNames,
+            {},
+            "Duties to perform, separated by commas: usage (report the requests of each team), "
+            "scale (order servers for pools that allow it)." },
+          storeDuties },
         numberEntry("duties.calls_per_s", "10", kMaxDutyCalls,
                     "Calls a second that the platform accepts from all routers together.",
                     kStore<&GatewaySettings::duties, &DutySettings::callsPerSecond>),
@@ -180,6 +191,12 @@
     return kEntries;
 }
 
+//! Whether an override has no value, which a template fills in for a field that is not there.
+bool isWithoutValue(std::string_view line)
+{
+    return line.ends_with('=') || line.ends_with("=\"\"");
+}
+
 } // namespace
 
 Result<GatewaySettings> GatewaySettings::load(const std::string &path,
@@ -194,6 +211,8 @@
 {
     BOOST_LEAF_AUTO(table, parseToml(text, file, ResultCode::BadSettings));
     for (const auto &line : overrides) {
+        if (isWithoutValue(line))
+            continue;
         BOOST_LEAF_AUTO(replaced, parseToml(line, "--set " + line, ResultCode::BadSettings));
         for (auto &[key, value] : replaced.values) {
             value.line = 0; // Not a line of the file.
--- a/tests/gateway/testgatewaysettings.cpp
+++ b/tests/gateway/testgatewaysettings.cpp
@@ -58,6 +58,9 @@
                 [](const Error &error) { return error.message; });
         };
         REQUIRE(parsed("servers.heartbeat_ms=400") == "400");
+        // Guards against a start that fails because the platform has no value for a setting.
+        REQUIRE(parsed("servers.heartbeat_ms=") == "1200");
+        REQUIRE(parsed("duties.address=\"\"") == "1200");
         REQUIRE(parsed("servers.heartbeats=400").find("unknown key") != std::string::npos);
         REQUIRE(parsed("servers.heartbeat_ms").find("not valid TOML") != std::string::npos);
     }
