--- a/include/crocusport/gateway/routingtable.h
+++ b/include/crocusport/gateway/routingtable.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace crocusport {
@@ -111,6 +112,7 @@
     //! Returns the route of \a host with the longest prefix of \a path, or nullptr.
     const Route *findRoute(std::string_view host, std::string_view path) const;
     const PoolEntry *findPool(const PoolName &pool) const;
+    std::unordered_set<PoolName> poolNames() const;
     //! Returns the team that holds \a key, or nullptr.
     const TeamEntry *findTeam(const std::string &key) const;
     /*!
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -297,6 +297,7 @@
                 return {};
             table_ = std::make_shared<const RoutingTable>(std::move(configuration));
             applyLimits();
+            directory_.setPools(table_->poolNames());
             log_.write(LogLine("configuration_adopted")
                            .add("version", table_->version().value())
                            .add("routes", table_->configuration().routes.size())
--- a/src/gateway/routingtable.cpp
+++ b/src/gateway/routingtable.cpp
@@ -79,6 +79,14 @@
     return nullptr;
 }
 
+std::unordered_set<PoolName> RoutingTable::poolNames() const
+{
+    std::unordered_set<PoolName> names;
+    for (const auto &[name, pool] : pools_)
+        names.insert(name);
+    return names;
+}
+
 const PoolEntry *RoutingTable::findPool(const PoolName &pool) const
 {
     const auto found = pools_.find(pool);
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -210,12 +210,22 @@
 void ServerDirectory::settleAddress(const SocketAddress &address)
 {
     const auto &servers = byAddress_[address];
-    const auto latest =
-        *std::max_element(servers.begin(), servers.end(), [](const auto &left, const auto &right) {
-            return left->entry.start < right->entry.start;
-        });
+    StartNumber latest;
+    for (const auto &server : servers) {
+        if (isNamed(server->entry.pool))
+            latest = std::max(latest, server->entry.start);
+    }
     for (const auto &server : servers)
-        server->isSuperseded = server->entry.start < latest->entry.start;
+        server->isSuperseded = server->entry.start < latest;
+}
+
+void ServerDirectory::setPools(std::unordered_set<PoolName> pools)
+{
+    if (named_ == pools)
+        return;
+    named_ = std::move(pools);
+    for (const auto &[address, servers] : byAddress_)
+        settleAddress(address);
 }
 
 const std::vector<ServerDirectory::ServerPointer> &ServerDirectory::pool(const PoolName &name) const
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace crocusport {
@@ -155,6 +156,12 @@
     //! Adds or updates a server. The order of the calls decides which entry is the newest, as it is
     //! the order of the store's revisions: an entry may come back as it was.
     void update(const ServerEntry &entry, Instant now);
+    /*!
+        Sets the pools that the configuration names. An entry of another pool names no server to
+        use, so it does not supersede the servers at its address. Until the first call, all pools
+        count as named.
+    */
+    void setPools(std::unordered_set<PoolName> pools);
     //! Removes a server. Does nothing if there is no server of this name.
     void remove(const BackendServerName &name);
 
@@ -176,6 +183,9 @@
     //! Precondition: there is one.
     void settleAddress(const SocketAddress &address);
 
+    bool isNamed(const PoolName &pool) const { return !named_ || named_->contains(pool); }
+
+    std::optional<std::unordered_set<PoolName>> named_; //!< See setPools().
     std::unordered_map<BackendServerName, ServerPointer> servers_;
     std::unordered_map<ServerHash, ServerPointer> hashes_;
     std::unordered_map<PoolName, std::vector<ServerPointer>> pools_;
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -158,7 +158,8 @@
     const Json entry = { { "service", "pool" }, { "address", address.value() },
                          { "zone", "zone-1" },  { "slots", slots },
                          { "state", state },    { "coldRemainingMs", 0 },
-                         { "born", start },     { "seq", ++sequence_ } };
+                         { "version", "v1" },   { "born", start },
+                         { "seq", ++sequence_ } };
     store.put("servers/" + name, entry.dump());
 }
 
--- a/tests/platform/soak/soak.cpp
+++ b/tests/platform/soak/soak.cpp
@@ -166,10 +166,11 @@
 
 void Soak::registerServer(Server &server, const std::string &state)
 {
-    const Json entry = { { "service", "pool" },    { "address", server.proxy->address().value() },
-                         { "zone", "zone-1" },     { "slots", 40 },
-                         { "state", state },       { "coldRemainingMs", 0 },
-                         { "born", server.start }, { "seq", ++sequence_ } };
+    const Json entry = { { "service", "pool" }, { "address", server.proxy->address().value() },
+                         { "zone", "zone-1" },  { "slots", 40 },
+                         { "state", state },    { "coldRemainingMs", 0 },
+                         { "version", "v1" },   { "born", server.start },
+                         { "seq", ++sequence_ } };
     store_.put("servers/" + server.name, entry.dump());
     server.isLeaving = state != "ready";
 }
--- a/tests/platform/storereader.cpp
+++ b/tests/platform/storereader.cpp
@@ -21,8 +21,8 @@
 std::string serverEntryText(const std::string &state, int start, int sequence)
 {
     return R"({"service":"pool","address":"127.0.0.1:81","zone":"zone-1","slots":4,"state":")"
-        + state + R"(","coldRemainingMs":0,"born":)" + std::to_string(start) + R"(,"seq":)"
-        + std::to_string(sequence) + "}";
+        + state + R"(","coldRemainingMs":0,"version":"v1","born":)" + std::to_string(start)
+        + R"(,"seq":)" + std::to_string(sequence) + "}";
 }
 
 StoreReader::StoreReader(const ReaderContext &context, int number)
--- a/tests/platform/testmutations.cpp
+++ b/tests/platform/testmutations.cpp
@@ -21,7 +21,7 @@
     R"("idleTimeoutMs":15000},"tenants":[{"name":"team-1","apiKeys":["k"],"priority":1}]})";
 const std::string kServer =
     R"({"service":"pool","address":"127.0.0.1:80","zone":"zone-1","slots":4,"state":"ready",)"
-    R"("coldRemainingMs":0,"born":1000,"seq":3})";
+    R"("coldRemainingMs":0,"version":"v1","born":1000,"seq":3})";
 
 //! Returns \a text with some bytes changed, inserted and removed at random.
 std::string mutated(std::string text)
--- a/tests/platform/testoddentries.cpp
+++ b/tests/platform/testoddentries.cpp
@@ -3,6 +3,7 @@
 #include "../transport/rawclient.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <string>
 
@@ -17,10 +18,20 @@
 std::string entryWith(const std::string &fields)
 {
     return R"({"service":"pool","zone":"zone-1","slots":4,"state":"ready","born":1,"seq":1,)"
-           R"("address":"127.0.0.1:9",)"
+           R"("version":"v1","coldRemainingMs":0,"address":"127.0.0.1:9",)"
         + fields + "}";
 }
 
+//! Returns an entry, complete but for the field \a name.
+std::string entryWithout(const std::string &name, const std::string &address)
+{
+    auto entry = nlohmann::json::parse(entryWith(R"("note":0)"));
+    entry["address"] = address;
+    entry["born"] = 5000;
+    entry.erase(name);
+    return entry.dump();
+}
+
 } // namespace
 
 // Guards against one unreadable entry that ends the routers or stops them from following the list.
@@ -71,3 +82,21 @@
         REQUIRE(followsChanges());
     }
 }
+
+// Guards against an entry of another writer that names no server of the platform and gets requests,
+// or takes the place of the server whose address it names.
+SCENARIO("Another writer leaves an entry that lacks a field at the address of a server")
+{
+    const std::string field =
+        GENERATE("service", "zone", "version", "slots", "state", "coldRemainingMs", "seq");
+    CAPTURE(field);
+    LoopRunner runner;
+    Deployment deployment(runner);
+    REQUIRE(deployment.serve());
+    deployment.store.put("servers/odd", entryWithout(field, deployment.first.address().value()));
+    deployment.settle();
+    RawClient client(runner.loop(), deployment.gateway->callersAddress());
+    client.send(Deployment::request("safe"));
+    REQUIRE(runner.runUntil([&] { return client.received().size() > 12; }));
+    REQUIRE(client.received().substr(9, 3) == "200");
+}
--- a/tests/platform/teststoreditems.cpp
+++ b/tests/platform/teststoreditems.cpp
@@ -163,8 +163,8 @@
         };
         return R"({"service":")" + pick("pool", "other") + R"(","address":"127.0.0.1:)"
             + pick("81", "82") + R"(","zone":"zone-1","slots":4,"state":")"
-            + pick("ready", "draining") + R"(","coldRemainingMs":0,"born":)" + pick("1000", "2000")
-            + R"(,"seq":)" + std::to_string(++writes_) + "}";
+            + pick("ready", "draining") + R"(","coldRemainingMs":0,"version":"v1","born":)"
+            + pick("1000", "2000") + R"(,"seq":)" + std::to_string(++writes_) + "}";
     }
 
     //! The store is down, and entries of servers expire; most of them are back soon after it.
