ForwardedRequest: Count trials when they are sent; keep begun answers in a planned stop

Change: a trial counts when its request is sent, one at a time; an answer that has begun is kept during a planned stop.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -267,7 +267,7 @@
         finishFault(ResultCode::NotConfigured);
         return true;
     }
-    isTrial_ = hasRefusedPart() && services_.isTrialDue(sharedParts_);
+    isTrial_ = hasRefusedPart() && !services_.pendingTrial && services_.isTrialDue(sharedParts_);
     if (isCrashCause()) {
         finishFault(ResultCode::SuspectedCrashCause);
         return true;
@@ -278,8 +278,6 @@
                                                   excluded_, monotonicNow());
     if (!choice.server)
         return false;
-    if (isTrial_)
-        services_.trialStarted(sharedParts_);
     startAttempt(choice);
     return true;
 }
@@ -332,6 +330,9 @@
     table_ = services_.table();
     server_ = choice.server;
     load_ = choice.added;
+    // Counted as a trial when it is sent: servers that cannot be reached prove nothing.
+    if (isTrial_)
+        services_.pendingTrial = this;
     account_.noteAttempt(choice.cachedTokens, choice.mostCachedTokens, now);
     server_->own += load_;
     services_.loadChanged();
@@ -359,7 +360,7 @@
     handlers.onReady = [this] {
         isSendConfirmed_ = mayStillSend();
         if (isSendConfirmed_)
-            services_.requestSent(*server_);
+            noteSent();
         return isSendConfirmed_;
     };
     handlers.onProgressTimeout = [this] { return isWorthWaiting(); };
@@ -368,7 +369,16 @@
     ++sentAttempts_;
     // On a new connection, onReady reports it.
     if (!call_->isOnNewConnection())
-        services_.requestSent(*server_);
+        noteSent();
+}
+
+void ForwardedRequest::noteSent()
+{
+    services_.requestSent(*server_);
+    if (services_.pendingTrial != this)
+        return;
+    services_.pendingTrial = nullptr;
+    services_.trialStarted(sharedParts_);
 }
 
 HttpCallRequest ForwardedRequest::makeCall(const KnownServer &server) const
@@ -410,7 +420,9 @@
 bool ForwardedRequest::isWorthWaiting()
 {
     const auto now = monotonicNow();
-    return now < deadline_ && !isRetryAllowed(AttemptFault::Broken);
+    // During a planned stop, an answer that has begun gets the rest of the grace time.
+    const bool isKept = services_.isShuttingDown && exchange_->isStarted();
+    return now < deadline_ && (isKept || !isRetryAllowed(AttemptFault::Broken));
 }
 
 void ForwardedRequest::onHead(int status, const HttpHeaders &headers)
@@ -648,6 +660,8 @@
 {
     if (!server_)
         return;
+    if (services_.pendingTrial == this)
+        services_.pendingTrial = nullptr;
     server_->own -= load_;
     load_ = {};
     excluded_.push_back(server_->entry.name);
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -73,6 +73,8 @@
     Instant latestWait() const;
     void onWaitedTooLong();
     void startAttempt(const ServerSelector::Choice &choice);
+    //! Called when the request of the attempt is sent.
+    void noteSent();
     HttpCallRequest makeCall(const KnownServer &server) const;
     //! Whether the request may still be sent to its server, now that the connection is ready.
     bool mayStillSend() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -676,6 +676,7 @@
     if (stopRequestedAt_)
         return;
     stopRequestedAt_ = monotonicNow();
+    services_.isShuttingDown = true;
     callers_->closeAfterResponses();
     log_.write(LogLine("shutdown_started").add("open", services_.open.size()).text());
 }
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -83,7 +83,10 @@
     std::function<void(KnownServer &)> serverLeaves;
 
     std::unordered_set<std::shared_ptr<ForwardedRequest>> open; //!< Without a final response.
-    bool isStopping = false; //!< New requests are refused, since the router will stop soon.
+    //! The request that is chosen as a trial of a refused part and not sent yet, or null.
+    const ForwardedRequest *pendingTrial = nullptr;
+    bool isShuttingDown = false; //!< A planned stop has begun.
+    bool isStopping = false;     //!< New requests are refused, since the router will stop soon.
 };
 
 } // namespace crocusport
