StoredItems: Hold removals until a copy from after the recovery time is read

Change: a held removal waits for a copy from after the time in which entries return, at most 0.8 s; the limit of late detected ends is lowered by the same time, so that the sum in docs/platform.md stays.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -256,7 +256,8 @@
 {
     const auto bound = std::min(settings_.configurationBound, settings_.leavingBound);
     const auto maxCopyAge = std::max<Duration>(bound - kSendingTime, bound / 2);
-    const Duration unbounded = settings_.stabilityWindow - StoreOutages::kRecoveryTime;
+    const Duration unbounded =
+        settings_.stabilityWindow - StoreOutages::kRecoveryTime - StoredItems::kMaxReadTime;
     const StoreOutages::Limits outages { std::chrono::duration_cast<Duration>(
                                              settings_.serverHeartbeat * kMinOutageHeartbeats),
                                          maxCopyAge + std::max(unbounded, Duration::zero()) };
--- a/src/gateway/storeditems.cpp
+++ b/src/gateway/storeditems.cpp
@@ -105,6 +105,11 @@
 {
     if (heldRemovals_.empty() || mirror.outages().mayEntriesReturn(now))
         return;
+    // An entry that is back just in time is read with the next confirmation of the copy.
+    const auto recoversUntil = mirror.outages().recoversUntil().value_or(Duration::zero());
+    if (mirror.freshAt().value_or(Duration::zero()) < recoversUntil
+        && now < recoversUntil + kMaxReadTime)
+        return;
     for (const auto &[name, since] : std::exchange(heldRemovals_, {}))
         parts_.removeServer(name);
 }
--- a/src/gateway/storeditems.h
+++ b/src/gateway/storeditems.h
@@ -32,6 +32,10 @@
 class StoredItems
 {
 public:
+    //! A held removal waits at most this long for a copy of the store that is from after the time
+    //! in which entries may return: an interval of the reader, one of its follower and the answers.
+    static constexpr Duration kMaxReadTime = std::chrono::milliseconds(800);
+
     struct Parts
     {
         const FormatTable &formats;
