Coordination: Let OrderHolder hold any key with a lease in milliseconds

OrderHolder was tied to one key for each pool and to leases in whole seconds. The duties of the gateway need one key for the fleet and a lease of 3,000 ms. The key and its owner are now arguments, the time to live is a Duration, and the concept LeaseStore names the four calls that are needed. A renewal that fails at once is repeated after the retry interval, no longer at each tick. Keys, values and leases of crocusportd are unchanged.

--- a/include/crocusport/coordination/keyvaluestore.h
+++ b/include/crocusport/coordination/keyvaluestore.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_KEYVALUESTORE_H
 
 #include "crocusport/state/error.h"
+#include "crocusport/state/instant.h"
 
 #include <chrono>
 #include <concepts>
@@ -53,22 +54,31 @@
 using StoreCallback = std::function<void(AsyncResult<T>)>;
 
 /*!
-    The operations of the platform's key-value service that the coordination layer uses. Each call
-    counts towards the service's rate limit. A call that fails with Timeout or ConnectionClosed may
-    have taken effect.
+    The operations of the platform's key-value service that an exclusive right with a lease needs.
+    Each call counts towards the service's rate limit. A call that fails with Timeout or
+    ConnectionClosed may have taken effect. keepAlive() fails or returns another lease, such as 0,
+    if the lease has ended. A service that counts whole seconds rounds the time to live up.
 
     Thread safety: loop thread only.
 */
 template<typename Store>
-concept KeyValueStore = requires(Store store, std::string key, CompareAndSwap swap, LeaseId lease,
-                                 std::chrono::seconds timeToLive, StoreRevision revision,
-                                 StoreCallback<std::optional<StoreEntry>> onEntry,
-                                 StoreCallback<SwapReply> onSwap, StoreCallback<LeaseId> onLease)
+concept LeaseStore = requires(Store store, std::string key, CompareAndSwap swap, LeaseId lease,
+                              Milliseconds timeToLive,
+                              StoreCallback<std::optional<StoreEntry>> onEntry,
+                              StoreCallback<SwapReply> onSwap, StoreCallback<LeaseId> onLease)
 {
     store.get(key, onEntry);
     store.compareAndSwap(swap, onSwap);
     store.grantLease(timeToLive, onLease);
     store.keepAlive(lease, onLease);
+};
+
+//! All operations of the platform's key-value service that the coordination layer uses.
+template<typename Store>
+concept KeyValueStore =
+    LeaseStore<Store> && requires(Store store, std::string key, StoreRevision revision,
+                                  StoreCallback<std::optional<StoreEntry>> onEntry)
+{
     store.watch(key, revision, onEntry);
 };
 
--- a/include/crocusport/coordination/orderholder.h
+++ b/include/crocusport/coordination/orderholder.h
@@ -15,15 +15,15 @@
 //! Timing of an OrderHolder.
 struct OrderHolderPolicy
 {
-    std::chrono::seconds timeToLive { 10 };
+    Duration timeToLive = std::chrono::seconds(10); //!< At least 1 ms.
     Duration callTimeout = std::chrono::seconds(1);
     Duration retryInterval = std::chrono::milliseconds(500);
 };
 
 /*!
-    Acquires and renews the exclusive right to send orders to the backend servers of one pool. The
-    right is a key in the store with a lease; the revision at which the key was acquired is the
-    fencing token (docs/design.md section 3).
+    Acquires and renews an exclusive right, such as the right to send orders to the backend servers
+    of one pool. The right is a key in the store with a lease; the revision at which the key was
+    acquired is the fencing token (docs/design.md section 3).
 
     Some backend servers do not check the token. To protect them from outdated orders, token()
     returns the token only while more than half of the lease is left. The rest of the lease is
@@ -32,18 +32,28 @@
     expires, and so before another router becomes the holder. That does not hold if this router
     gives the right up earlier. Orders must therefore be idempotent and state the desired state.
 
+    All times must be of one clock. A clock that includes suspended time also ends the right of a
+    router whose host was suspended.
+
     Precondition: the store outlives the holder. Thread safety: loop thread only.
 */
-template<KeyValueStore Store>
+template<LeaseStore Store>
 class OrderHolder
 {
 public:
     OrderHolder(Store &store, const PoolName &pool, const RouterName &self, Incarnation incarnation,
                 const OrderHolderPolicy &policy = {})
-        : d_(std::make_shared<Private>(store, pool, self, incarnation, policy))
+        : OrderHolder(store, "/crocusport/orders/" + pool.value(), self.value(), incarnation,
+                      policy)
+    { }
+    //! Uses the key \a key. While the right is held, its value begins with \a owner and a slash.
+    OrderHolder(Store &store, std::string key, const std::string &owner, Incarnation incarnation,
+                const OrderHolderPolicy &policy)
+        : d_(std::make_shared<Private>(store, std::move(key), owner, incarnation, policy))
     { }
 
-    //! Acquires or renews the right if \a isWanted, else gives it up. Must be called every 500 ms.
+    //! Acquires or renews the right if \a isWanted, else gives it up. Must be called every 500 ms,
+    //! and at least eight times per time to live.
     void tick(bool isWanted, Instant now) { d_->tick(isWanted, now); }
 
     //! Returns the token for an order that is sent at \a now; nothing if no order may be sent.
@@ -54,13 +64,19 @@
         return FencingToken(static_cast<std::uint64_t>(*d_->token));
     }
 
+    //! Whether the key was acquired and its lease has not ended as far as is known. token() returns
+    //! nothing in the last half of the lease.
+    bool isHeld() const { return d_->token.has_value(); }
+    //! Returns the value without the number of the attempt that this process writes.
+    const std::string &identity() const { return d_->name; }
+
 private:
     struct Private : std::enable_shared_from_this<Private>
     {
-        Private(Store &keyValueStore, const PoolName &pool, const RouterName &self,
+        Private(Store &keyValueStore, std::string storeKey, const std::string &owner,
                 Incarnation incarnation, const OrderHolderPolicy &holderPolicy)
-            : store(&keyValueStore), key("/crocusport/orders/" + pool.value()),
-              name(self.value() + "/" + std::to_string(incarnation.value())), policy(holderPolicy)
+            : store(&keyValueStore), key(std::move(storeKey)),
+              name(owner + "/" + std::to_string(incarnation.value())), policy(holderPolicy)
         { }
 
         void tick(bool isWanted, Instant now)
@@ -77,7 +93,7 @@
             if (!isWanted) {
                 giveUp();
             } else if (token) {
-                if (now - confirmedAt >= policy.timeToLive / 4)
+                if (now - confirmedAt >= policy.timeToLive / 4 && now >= retryAt)
                     renew();
             } else if (now >= retryAt) {
                 acquire();
@@ -133,7 +149,7 @@
                                }));
             else if (!lease)
                 store->grantLease(
-                    policy.timeToLive,
+                    std::chrono::duration_cast<Milliseconds>(policy.timeToLive),
                     onReply<LeaseId>([](Private &self, LeaseId granted, Instant sentAt) {
                         self.lease = granted;
                         self.confirmedAt = sentAt;
--- a/include/crocusport/transport/storeclient.h
+++ b/include/crocusport/transport/storeclient.h
@@ -55,7 +55,7 @@
     //! Reads the entry of \a key; the result is empty when the key does not exist.
     void get(const std::string &key, StoreCallback<std::optional<StoreEntry>> onEntry);
     void compareAndSwap(const CompareAndSwap &swap, StoreCallback<SwapReply> onReply);
-    void grantLease(std::chrono::seconds timeToLive, StoreCallback<LeaseId> onLease);
+    void grantLease(Milliseconds timeToLive, StoreCallback<LeaseId> onLease);
     //! Fails with NotFound when the lease has expired.
     void keepAlive(LeaseId lease, StoreCallback<LeaseId> onLease);
 
--- a/src/transport/storeclient.cpp
+++ b/src/transport/storeclient.cpp
@@ -85,9 +85,10 @@
              parseEtcdCompareAndSwap, std::move(onReply));
 }
 
-void StoreClient::grantLease(std::chrono::seconds timeToLive, StoreCallback<LeaseId> onLease)
+void StoreClient::grantLease(Milliseconds timeToLive, StoreCallback<LeaseId> onLease)
 {
-    d_->call(StoreCall::Kind::Write, kEtcdLeaseGrantPath, writeEtcdLeaseGrant(timeToLive),
+    d_->call(StoreCall::Kind::Write, kEtcdLeaseGrantPath,
+             writeEtcdLeaseGrant(std::chrono::ceil<std::chrono::seconds>(timeToLive)),
              parseEtcdLeaseGrant, std::move(onLease));
 }
 
--- a/tests/coordination/fakestore.h
+++ b/tests/coordination/fakestore.h
@@ -38,7 +38,7 @@
         call<SwapReply>([this, swap] { return apply(swap); }, std::move(callback));
     }
 
-    void grantLease(std::chrono::seconds timeToLive, StoreCallback<LeaseId> callback)
+    void grantLease(Milliseconds timeToLive, StoreCallback<LeaseId> callback)
     {
         call<LeaseId>(
             [this, timeToLive] {
