Gateway: Hold the duties of the fleet and report usage

One router at a time holds the key crocusport/duties/holder with a lease. All routers count the requests of each team by window of true time and send cumulative counts to the holder every 500 ms. The holder writes the text of each report to the store and then sends it with its fencing token.

Active only if duties.address is set and a duty is enabled.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -334,6 +334,7 @@
     load_ = choice.added;
     account_.noteAttempt(choice.cachedTokens, choice.mostCachedTokens, now);
     server_->own += load_;
+    services_.workSent(pool_, load_);
     services_.loadChanged();
     const auto hash = server_->hash;
     for (std::size_t i = 0; i < work_.prefixHashes.size(); ++i) {
@@ -438,6 +439,8 @@
         return;
     }
     isStream_ = route_.kind == RequestKind::Stream && isSuccess;
+    if (!isStream_ && !answer_->isNotExecuted && status < kServerError)
+        services_.requestBegan(team_);
     applyServerHints();
 }
 
@@ -504,7 +507,9 @@
     const bool isFirst = account_.noteEvents(batch.count, now);
     call_->reportProgress(std::min(services_.silence.limit(route_, account_.longestPause()),
                                    std::max(deadline_ - now, Duration(Milliseconds(1)))));
+    services_.eventsReceived(pool_, batch.count);
     if (isFirst) {
+        services_.requestBegan(team_);
         services_.silence.noteBegin(route_.name, account_.attemptTime(now));
         services_.partsAnswered(sharedParts_);
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -142,6 +142,18 @@
           [this] { return exchange_->loads().meanAge(monotonicNow()); },
           [this](KnownServer &server) { noteRequestSent(server); },
           [this](KnownServer &server) { onServerLeaving(server, "answer"); },
+          [this](const TeamName &team) {
+              if (duties_)
+                  duties_->noteBegan(team);
+          },
+          [this](const PoolName &pool, const ServerLoad &load) {
+              if (duties_)
+                  duties_->noteSent(pool, load);
+          },
+          [this](const PoolName &pool, std::uint64_t count) {
+              if (duties_)
+                  duties_->noteOutput(pool, count);
+          },
           {}
       }
 { }
@@ -215,6 +227,9 @@
         });
     registration_ =
         std::make_unique<Registration>(storeClient_, formats_, settings_.store, exchange_->self());
+    if (settings_.duties.isEnabled())
+        duties_ = std::make_unique<GatewayDuties>(GatewayDuties::Parts {
+            settings_, formats_, storeClient_, *exchange_, directory_, feed_->mirror(), log_ });
     tickTimer_.startPeriodic(kTickInterval);
     log_.write(LogLine("router_started")
                    .add("router", settings_.router.value())
@@ -247,6 +262,15 @@
         [this](const PartReport &report, const RouterName &from) {
             return takePartReport(report, from);
         },
+        [this] { return duties_ ? std::optional(duties_->clock()) : std::nullopt; },
+        [this](const RouterName &from, Duration clock) {
+            if (duties_)
+                duties_->noteClock(from, clock);
+        },
+        [this](const DutyReport &report) {
+            if (duties_)
+                duties_->takeReport(report);
+        },
     };
     BOOST_LEAF_ASSIGN(exchange_, RouterExchange::create(loop_, std::move(parts)));
     return {};
@@ -587,7 +611,8 @@
                       static_cast<double>(log_.droppedLines()));
     metrics_.setGauge("crocusport_store_calls", "Calls to the store since the start.",
                       static_cast<double>(feed_->storeCalls() + registration_->calls()
-                                          + crashRecords_->calls() + partRecords_->calls()));
+                                          + crashRecords_->calls() + partRecords_->calls()
+                                          + (duties_ ? duties_->storeCalls() : 0)));
     metrics_.setGauge("crocusport_router_questions",
                       "Questions to other routers for what the store holds.",
                       static_cast<double>(feed_->routerCalls()));
@@ -611,6 +636,8 @@
                       static_cast<double>(exchangeMisuses()));
     metrics_.setGauge("crocusport_callback_failures", "Callbacks that ended with an exception.",
                       static_cast<double>(callbackFailures()));
+    if (duties_)
+        duties_->describe(metrics_);
     exchange.reply(kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text());
 }
 
@@ -621,6 +648,8 @@
     if (now - startedAt_ >= kMaxStartWait && !stopRequestedAt_)
         callers_->resumeAccepting();
     exchange_->tick(now);
+    if (duties_)
+        duties_->tick();
     updateRegistration();
     if (feed_->mirror().isComplete()) {
         const auto rank = exchange_->routers().rank(uptime());
@@ -676,6 +705,8 @@
         return;
     stopRequestedAt_ = monotonicNow();
     callers_->closeAfterResponses();
+    if (duties_)
+        duties_->giveUp();
     log_.write(LogLine("shutdown_started").add("open", services_.open.size()).text());
 }
 
@@ -695,6 +726,8 @@
     if (!isIdle && elapsed < settings_.shutdownGrace - kExitMargin)
         return;
     log_.write(LogLine("shutdown_finished").add("open", services_.open.size()).text());
+    if (duties_)
+        duties_->sendCounts();
     exchange_->reportShutdown();
     loop_.stop();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_GATEWAY_H
 
 #include "crashrecords.h"
+#include "gatewayduties.h"
 #include "gatewayservices.h"
 #include "registration.h"
 #include "routerexchange.h"
@@ -124,6 +125,7 @@
     std::unique_ptr<StoredItems> storedItems_;
     std::unique_ptr<StoreFeed> feed_;
     std::unique_ptr<Registration> registration_;
+    std::unique_ptr<GatewayDuties> duties_; //!< Null if no duty is enabled.
     Timer tickTimer_;
     Timer waitingTimer_;
     Instant startedAt_ = monotonicNow();
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -81,6 +81,12 @@
     std::function<void(KnownServer &)> requestSent;
     //! Reports that the server has announced that it is leaving.
     std::function<void(KnownServer &)> serverLeaves;
+    //! Reports that a request of the team has begun to run at a server, for usage reports.
+    std::function<void(const TeamName &)> requestBegan;
+    //! Reports work that was sent to a server of the pool, for the ordering of servers.
+    std::function<void(const PoolName &, const ServerLoad &)> workSent;
+    //! Reports that events of a stream have arrived from a server of the pool.
+    std::function<void(const PoolName &, std::uint64_t count)> eventsReceived;
 
     std::unordered_set<std::shared_ptr<ForwardedRequest>> open; //!< Without a final response.
     bool isStopping = false; //!< New requests are refused, since the router will stop soon.
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t kMaxZoneSize = 10'000;
 constexpr std::size_t kLoadFields = 5;
 constexpr std::size_t kPairFields = 2;
+// Later clocks are implausible; the bound keeps sums of times in range.
+constexpr std::uint64_t kMaxClockMs = 10'000'000'000'000;
 constexpr std::size_t kSuspicionFields = 3;
 constexpr auto kMaxPartVerdict = static_cast<std::uint64_t>(PartVerdict::Tried);
 constexpr std::uint64_t kMaxTrials = 1000;
@@ -119,10 +121,15 @@
         | (report.isNeighbourQuery ? kNeighbourQueryFlag : 0U)
         | (report.isRelayed ? kRelayedFlag : 0U)
         | (report.isNeighbourReply ? kNeighbourReplyFlag : 0U);
+    // Earlier versions ignore rows of another length.
+    Json paces = report.paces;
+    if (report.clock)
+        paces.push_back(
+            Json::array({ std::chrono::duration_cast<Milliseconds>(*report.clock).count() }));
     const Json message = Json::array(
         { report.router.name.value(), report.router.address.value(), report.router.zone.value(),
           report.sequence, flags, std::move(loads), std::move(prefixes), std::move(suspicions),
-          std::move(store), report.broken, report.paces, std::move(leaving), report.zoneSize });
+          std::move(store), report.broken, std::move(paces), std::move(leaving), report.zoneSize });
     const auto bytes = Json::to_cbor(message);
     return { bytes.begin(), bytes.end() };
 }
@@ -153,6 +160,8 @@
         report.store = StoreHint { static_cast<StoreRevision>(number(json[8][0])),
                                    Milliseconds(static_cast<std::int64_t>(number(json[8][1]))) };
     for (const auto &row : json[10]) {
+        if (isArrayOf(row, 1) && number(row[0]) <= kMaxClockMs)
+            report.clock = Milliseconds(static_cast<std::int64_t>(number(row[0])));
         if (isArrayOf(row, kPairFields))
             report.paces.emplace_back(static_cast<ServerHash>(number(row[0])),
                                       static_cast<std::uint32_t>(number(row[1])));
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -43,6 +43,8 @@
     std::size_t zoneSize = 0; //!< Number of routers of the zone, for ReportScope::Zone.
     std::optional<StoreHint> store;
     std::vector<std::pair<ServerHash, std::uint32_t>> paces; //!< Pace samples in tenths of a ms.
+    //! The sender's clock, without the corrections of TrueTime, since the start of 1970.
+    std::optional<Duration> clock;
     std::vector<ServerHash> broken; //!< Servers to which connections broke recently.
     //! Servers that have announced in a response that they are leaving, with their start numbers.
     std::vector<std::pair<ServerHash, StartNumber>> leaving;
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -155,6 +155,12 @@
         takeNeighbours(*neighbours);
         return;
     }
+    if (isDutyReport(bytes)) {
+        const auto report = decodeDutyReport(bytes);
+        if (report && parts_.dutyReported)
+            parts_.dutyReported(*report);
+        return;
+    }
     handleErrors(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(report, decodeLoadReport(bytes));
@@ -176,6 +182,8 @@
             routers_.noteShutdown(report.router.name);
         else
             routers_.noteMessage(report.router, report.store, boot);
+        if (report.clock && parts_.clockReported)
+            parts_.clockReported(report.router.name, *report.clock);
     } else {
         routers_.noteMention(report.router, boot);
         routers_.noteZoneSize(report.router.zone, report.zoneSize, boot);
@@ -324,6 +332,14 @@
     sendReport(true);
 }
 
+std::size_t RouterExchange::sendDutyReport(const SocketAddress &address, const DutyReport &report)
+{
+    const auto datagrams = encodeDutyReport(report);
+    for (const auto &datagram : datagrams)
+        datagrams_->send(address, datagram);
+    return datagrams.size();
+}
+
 LoadReport RouterExchange::makeReport()
 {
     LoadReport report;
@@ -339,6 +355,7 @@
     reportedAt_ = now;
     auto report = makeReport();
     report.isLeaving = isLeaving;
+    report.clock = parts_.clock ? parts_.clock() : std::nullopt;
     parts_.servers.forEach([&](const ServerDirectory::ServerPointer &server) {
         if (server->own.requests > 0)
             report.loads.emplace_back(server->hash, server->own);
--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_ROUTEREXCHANGE_H
 #define CROCUSPORT_ROUTEREXCHANGE_H
 
+#include "dutyreport.h"
 #include "loadexchange.h"
 #include "storemirror.h"
 
@@ -51,6 +52,12 @@
         //! Called when router \a from reports about a prompt part. Returns whether the report was
         //! new.
         std::function<bool(const PartReport &, const RouterName &from)> partReported;
+        //! Returns this router's clock for its reports; may be empty or return nothing.
+        std::function<std::optional<Duration>()> clock;
+        //! Called when router \a from reports its clock; may be empty.
+        std::function<void(const RouterName &from, Duration clock)> clockReported;
+        //! Called with a datagram of counts for the holder of the duties; may be empty.
+        std::function<void(const DutyReport &)> dutyReported;
     };
 
     //! Opens the ports for datagrams and queries. Fails with ListenFailed.
@@ -70,6 +77,8 @@
     void report();
     //! Sends all neighbours a last report, which announces this router's shutdown.
     void reportShutdown();
+    //! Sends \a report to the router at \a address. Returns the number of datagrams.
+    std::size_t sendDutyReport(const SocketAddress &address, const DutyReport &report);
     //! Adds to the next reports that a prompt with this prefix was sent to the server.
     void notePromptPrefix(ServerHash server, PromptPrefixHash prefix);
     //! Adds a pace sample of the server to the next report; see ServerPace.
