--- a/src/gateway/routerexchange.h
+++ b/src/gateway/routerexchange.h
@@ -53,11 +53,11 @@
         //! new.
         std::function<bool(const PartReport &, const RouterName &from)> partReported;
         //! Returns this router's clock for its reports; may be empty or return nothing.
-        std::function<std::optional<Duration>()> clock;
+        std::function<std::optional<Duration>()> clock {};
         //! Called when router \a from reports its clock; may be empty.
-        std::function<void(const RouterName &from, Duration clock)> clockReported;
+        std::function<void(const RouterName &from, Duration clock)> clockReported {};
         //! Called with a datagram of counts for the holder of the duties; may be empty.
-        std::function<void(const DutyReport &)> dutyReported;
+        std::function<void(const DutyReport &)> dutyReported {};
     };
 
     //! Opens the ports for datagrams and queries. Fails with ListenFailed.
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -107,6 +107,7 @@
     settings.shutdownGrace = std::chrono::seconds(8);
     settings.storePollInterval = std::chrono::milliseconds(20);
     settings.reportInterval = std::chrono::milliseconds(100);
+    settings.duties = duties;
     const int discarded = open("/dev/null", O_WRONLY | O_CLOEXEC);
     return handleErrors(
         [&] { return Gateway::create(runner.loop(), settings, formats_, discarded); },
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -92,6 +92,7 @@
     StandInServer first;
     StandInServer second;
     std::unique_ptr<Gateway> gateway;
+    DutySettings duties; //!< Of routers that are started from now on.
 
 private:
     static constexpr int kSlots = 4;
--- a/tests/platform/standinstore.cpp
+++ b/tests/platform/standinstore.cpp
@@ -12,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::string_view kKeepPath = "/crocusport/kv-keep/";
+
 Json itemJson(const std::string &key, const std::string &value, std::int64_t revision)
 {
     return { { "key", key },
@@ -50,6 +52,7 @@
         exchange->reply(mode_ == Mode::Refusing ? 503 : 429, {}, "");
         return;
     }
+    endLeases();
     const auto path = exchange->path();
     if (path == "/crocusport/kv-range") {
         exchange->reply(200, {}, range());
@@ -60,19 +63,88 @@
         else
             exchange->reply(200, {}, watch(after));
     } else if (path == "/crocusport/kv-lease") {
-        exchange->reply(200, {}, R"({"lease":77,"ttlMs":12000})");
+        grant(*exchange);
     } else if (path == "/crocusport/kv-txn") {
-        const auto transaction = Json::parse(exchange->body());
-        for (const auto &item : transaction.at("puts"))
-            put(item.at("key"), *fromBase64(item.at("value").get<std::string>()));
-        for (const auto &key : transaction.at("deletes"))
-            erase(key);
-        exchange->reply(200, {}, Json { { "revision", revision_ } }.dump());
+        commit(*exchange);
+    } else if (path == "/crocusport/kv-key") {
+        const auto found = items_.find(exchange->queryParameter("key").value_or(""));
+        if (found == items_.end())
+            exchange->reply(404, {}, "");
+        else
+            exchange->reply(
+                200, {},
+                itemJson(found->first, found->second.value, found->second.revision).dump());
+    } else if (path.starts_with(kKeepPath)) {
+        keep(*exchange, std::stoll(std::string(path.substr(kKeepPath.size()))));
     } else {
         exchange->reply(200, {}, R"({"ttlMs":12000})");
     }
 }
 
+void StandInStore::commit(HttpExchange &exchange)
+{
+    const auto transaction = Json::parse(exchange.body());
+    auto conflicts = Json::array();
+    for (const auto &row : transaction.value("expectedRevision", Json::array())) {
+        const std::string key = row.at("key");
+        const auto found = items_.find(key);
+        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        if (revision == row.at("revision"))
+            continue;
+        conflicts.push_back(revision == 0
+                                ? Json { { "key", key }, { "revision", 0 }, { "deleted", true } }
+                                : itemJson(key, found->second.value, revision));
+    }
+    if (!conflicts.empty()) {
+        exchange.reply(412, {}, Json { { "items", conflicts } }.dump());
+        return;
+    }
+    for (const auto &item : transaction.at("puts")) {
+        const std::int64_t lease = item.at("lease");
+        if (lease != 0 && !leases_.contains(lease)) {
+            exchange.reply(404, {}, "");
+            return;
+        }
+        put(item.at("key"), *fromBase64(item.at("value").get<std::string>()));
+        items_[item.at("key")].lease = lease;
+    }
+    for (const auto &key : transaction.at("deletes"))
+        erase(key);
+    exchange.reply(200, {}, Json { { "revision", revision_ } }.dump());
+}
+
+void StandInStore::grant(HttpExchange &exchange)
+{
+    const Milliseconds timeToLive(Json::parse(exchange.body()).at("ttlMs").get<std::int64_t>());
+    leases_[++lastLease_] = { timeToLive, monotonicNow() + timeToLive };
+    exchange.reply(200, {},
+                   Json { { "lease", lastLease_ }, { "ttlMs", timeToLive.count() } }.dump());
+}
+
+void StandInStore::keep(HttpExchange &exchange, std::int64_t id)
+{
+    const auto found = leases_.find(id);
+    if (found == leases_.end()) {
+        exchange.reply(404, {}, "");
+        return;
+    }
+    found->second.end = monotonicNow() + found->second.timeToLive;
+    exchange.reply(200, {}, "{}");
+}
+
+void StandInStore::endLeases()
+{
+    const auto now = monotonicNow();
+    std::erase_if(leases_, [&](const auto &lease) { return lease.second.end <= now; });
+    std::vector<std::string> ended;
+    for (const auto &[key, item] : items_) {
+        if (item.lease != 0 && !leases_.contains(item.lease))
+            ended.push_back(key);
+    }
+    for (const auto &key : ended)
+        erase(key);
+}
+
 std::string StandInStore::range() const
 {
     auto items = Json::array();
--- a/tests/platform/standinstore.h
+++ b/tests/platform/standinstore.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_STANDINSTORE_H
 #define CROCUSPORT_STANDINSTORE_H
 
+#include "crocusport/state/instant.h"
 #include "crocusport/transport/eventloop.h"
 #include "crocusport/transport/httpserver.h"
 
@@ -12,8 +13,8 @@
 
 namespace crocusport {
 
-//! Simulates the platform's store: keeps items and all changes, and grants leases that never
-//! expire.
+//! Simulates the platform's store: keeps items and all changes, checks the conditions of writes,
+//! and grants leases. Items whose lease has ended are removed at the next call.
 class StandInStore
 {
 public:
@@ -38,6 +39,12 @@
     {
         std::string value;
         std::int64_t revision = 0;
+        std::int64_t lease = 0;
+    };
+    struct Lease
+    {
+        Duration timeToLive {};
+        Instant end;
     };
     struct Change
     {
@@ -47,11 +54,17 @@
     };
 
     void answer(const std::shared_ptr<HttpExchange> &exchange);
+    void commit(HttpExchange &exchange);
+    void grant(HttpExchange &exchange);
+    void keep(HttpExchange &exchange, std::int64_t id);
+    void endLeases();
     std::string range() const;
     std::string watch(std::int64_t after) const;
 
     std::unique_ptr<HttpServer> server_;
     std::map<std::string, Item> items_;
+    std::map<std::int64_t, Lease> leases_;
+    std::int64_t lastLease_ = 76;
     std::vector<Change> changes_;
     std::vector<std::shared_ptr<HttpExchange>> unanswered_;
     std::int64_t revision_ = 1;
