--- a/src/gateway/duties/dutyholder.h
+++ b/src/gateway/duties/dutyholder.h
@@ -68,8 +68,9 @@
 private:
     static OrderHolderPolicy policy(Duration lease)
     {
-        // A renewal without a response is repeated before half of the lease has passed.
-        return { lease, lease / 5, lease / 12 };
+        // A slow store may take a third of the lease for a response; two renewals in a row may be
+        // lost without losing the lease.
+        return { lease, lease / 3, lease / 12 };
     }
 
     void noteChange(Instant now)
--- a/src/gateway/duties/dutystore.h
+++ b/src/gateway/duties/dutystore.h
@@ -24,7 +24,7 @@
 {
 public:
     //! After this time without progress, a call has failed.
-    static constexpr Duration kCallTimeout = std::chrono::milliseconds(700);
+    static constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
 
     DutyStore(HttpClient &client, const FormatTable &formats, SocketAddress address);
 
--- a/src/gateway/duties/gatewayduties.cpp
+++ b/src/gateway/duties/gatewayduties.cpp
@@ -15,11 +15,14 @@
 const std::string kUsagePrefix = "crocusport/usage/";
 // A killed router loses at most the counts of this time: a tenth of its share of a window of 5 s.
 constexpr Duration kSendInterval = std::chrono::milliseconds(500);
-constexpr Duration kDutyCallTimeout = std::chrono::seconds(1);
+constexpr Duration kDutyCallTimeout = std::chrono::milliseconds(1500);
 // Reports may use half of the calls that the platform accepts, and orders the other half.
 constexpr double kCallShare = 0.5;
 // Counts of windows that have not begun by this router's clock, which may be slow.
 constexpr UsageWindow kMaxFutureWindows = 2;
+// Whether a request that was retried or resumed at another server after it had begun to run counts
+// again, since both servers ran it.
+constexpr bool kCountsRepeats = true;
 const TeamName kLimiterName("orders");
 
 Incarnation randomIncarnation()
@@ -92,8 +95,10 @@
     return { parts_.settings.router, token };
 }
 
-void GatewayDuties::noteBegan(const TeamName &team)
+void GatewayDuties::noteBegan(const TeamName &team, bool isRepeat)
 {
+    if (isRepeat && !kCountsRepeats)
+        return;
     if (parts_.settings.duties.reportsUsage && !team.value().empty())
         counter_.note(team, reports_.windowAt(trueNow()));
 }
@@ -140,6 +145,7 @@
     const auto owner = DutyHolder<DutyStore>::ownerOf(keyValue.value_or(""));
     if (std::exchange(holderOwner_, owner) != owner) {
         counter_.restartSending();
+        sendAt_ = now;
         parts_.log.write(
             LogLine("duty_holder_changed").add("holder", owner.substr(0, owner.rfind(' '))).text());
     }
--- a/src/gateway/duties/gatewayduties.h
+++ b/src/gateway/duties/gatewayduties.h
@@ -64,9 +64,9 @@
     //! Sends counts and demand to the holder now.
     void sendCounts();
 
-    //! Records that a request of \a team has begun to run at a server. Teams without a name are not
-    //! counted.
-    void noteBegan(const TeamName &team);
+    //! Records that a request of \a team has begun to run at a server. \a isRepeat: it had begun at
+    //! another server before. Teams without a name are not counted.
+    void noteBegan(const TeamName &team, bool isRepeat);
     //! Records that a request was sent, which adds \a load to a server of \a pool.
     void noteSent(const PoolName &pool, const ServerLoad &load);
     //! Records \a count events of a stream from a server of \a pool.
--- a/src/gateway/duties/usagereports.cpp
+++ b/src/gateway/duties/usagereports.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr Duration kRetryInterval = std::chrono::milliseconds(300);
+// The interval grows with each call of a window without response, so that a platform that is slower
+// than the timeout gets the newer windows too.
+constexpr int kMaxRetryFactor = 10;
 // The platform counts calls by the second.
 constexpr Duration kLimitedPause = std::chrono::milliseconds(600);
 constexpr Duration kFailedPause = std::chrono::seconds(1);
@@ -141,7 +144,8 @@
         return;
     case DutyOutcome::Refused:
     case DutyOutcome::NoResponse:
-        sendAt_ = now + kRetryInterval;
+        state.failures = std::min(state.failures + 1, kMaxRetryFactor);
+        state.retryAt = now + kRetryInterval * state.failures;
         return;
     }
 }
--- a/src/gateway/duties/usagereports.h
+++ b/src/gateway/duties/usagereports.h
@@ -49,9 +49,10 @@
     };
 
     //! Time from the end of a window until its counts are complete: routers send them every 500 ms.
-    static constexpr Duration kSettleTime = std::chrono::milliseconds(1200);
-    //! Time from becoming the holder until the routers have sent their counts.
-    static constexpr Duration kCollectTime = std::chrono::milliseconds(1200);
+    static constexpr Duration kSettleTime = std::chrono::milliseconds(1500);
+    //! Time from becoming the holder until the routers have sent their counts: copies of the store
+    //! show the new holder after some polls. An incomplete report is worse than one 2 s later.
+    static constexpr Duration kCollectTime = std::chrono::seconds(2);
     //! Windows that ended longer ago are not reported, and their texts are removed. Counts older
     //! than this are dropped.
     static constexpr Duration kMaxAge = std::chrono::seconds(60);
@@ -112,6 +113,7 @@
     {
         std::optional<std::string> text; //!< As the store has it.
         bool isSent = false;
+        int failures = 0; //!< Calls without response.
         Instant retryAt;
     };
 
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -440,7 +440,7 @@
     }
     isStream_ = route_.kind == RequestKind::Stream && isSuccess;
     if (!isStream_ && !answer_->isNotExecuted && status < kServerError)
-        services_.requestBegan(team_);
+        services_.requestBegan(team_, std::exchange(hasBegun_, true));
     applyServerHints();
 }
 
@@ -509,7 +509,7 @@
                                    std::max(deadline_ - now, Duration(Milliseconds(1)))));
     services_.eventsReceived(pool_, batch.count);
     if (isFirst) {
-        services_.requestBegan(team_);
+        services_.requestBegan(team_, std::exchange(hasBegun_, true));
         services_.silence.noteBegin(route_.name, account_.attemptTime(now));
         services_.partsAnswered(sharedParts_);
     }
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -151,6 +151,7 @@
     bool isStream_ = false;        //!< The response in progress is a stream of events.
     bool hasUnnumberedEvents_ = false; //!< The caller has received events without an id.
     bool hasDroppedCopy_ = false;      //!< A copy of an earlier response was dropped.
+    bool hasBegun_ = false;            //!< An attempt has begun to run at its server.
     bool mayHaveRun_ = false;          //!< An attempt may have run or may be running.
     //! Only the close of the connection marked the end of the last response.
     bool isEndedByClose_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -142,9 +142,9 @@
           [this] { return exchange_->loads().meanAge(monotonicNow()); },
           [this](KnownServer &server) { noteRequestSent(server); },
           [this](KnownServer &server) { onServerLeaving(server, "answer"); },
-          [this](const TeamName &team) {
+          [this](const TeamName &team, bool isRepeat) {
               if (duties_)
-                  duties_->noteBegan(team);
+                  duties_->noteBegan(team, isRepeat);
           },
           [this](const PoolName &pool, const ServerLoad &load) {
               if (duties_)
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -81,8 +81,9 @@
     std::function<void(KnownServer &)> requestSent;
     //! Reports that the server has announced that it is leaving.
     std::function<void(KnownServer &)> serverLeaves;
-    //! Reports that a request of the team has begun to run at a server, for usage reports.
-    std::function<void(const TeamName &)> requestBegan;
+    //! Reports that a request of the team has begun to run at a server, for usage reports, and
+    //! whether it had begun at another server before.
+    std::function<void(const TeamName &, bool isRepeat)> requestBegan;
     //! Reports work that was sent to a server of the pool, for the ordering of servers.
     std::function<void(const PoolName &, const ServerLoad &)> workSent;
     //! Reports that events of a stream have arrived from a server of the pool.
