Gateway: Report a window without counts only when it is almost due

A new holder whose datagrams have not arrived would otherwise write an empty text for a window with requests, which cannot be corrected.

--- a/src/gateway/duties/usagereports.cpp
+++ b/src/gateway/duties/usagereports.cpp
@@ -22,6 +22,10 @@
 // Texts are looked for in this time before; longer without a holder, and texts remain.
 constexpr Duration kRemovalRange = std::chrono::minutes(5);
 
+// Time that a report needs for its calls to the store and the platform when some have to be
+// repeated.
+constexpr Duration kEmptyMargin = std::chrono::seconds(3);
+
 constexpr int kNoStatus = 0;
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
@@ -90,9 +94,7 @@
             states_[window].text = text;
             return Step { Action::Send, window, *text, {} };
         }
-        const bool isKnown =
-            view.ledger.has(window) || endOf(window) - options_.window >= view.knownSince;
-        if (!hasCollected || !isKnown)
+        if (!hasCollected || (!view.ledger.has(window) && !isSurelyEmpty(window, view)))
             continue;
         states_.try_emplace(window);
         return Step { Action::Write, window, {}, view.ledger.sums(window) };
@@ -100,6 +102,14 @@
     return std::nullopt;
 }
 
+// The routers may have sent their counts to the holder before, as their copies of the store are
+// outdated. A report without counts therefore waits until it is almost due.
+bool UsageReports::isSurelyEmpty(UsageWindow window, const View &view) const
+{
+    return endOf(window) - options_.window >= view.knownSince
+        && view.trueTime >= endOf(window) + options_.due - kEmptyMargin;
+}
+
 std::optional<UsageReports::Step> UsageReports::nextRemoval(const View &view)
 {
     if (view.now < removeAt_)
--- a/src/gateway/duties/usagereports.h
+++ b/src/gateway/duties/usagereports.h
@@ -75,7 +75,8 @@
         Duration trueTime {};
         Instant now;
         Instant heldSince; //!< When this router became the holder.
-        //! Windows that began earlier are reported only if any counts are known.
+        //! Windows that began earlier are reported only if any counts are known; later ones without
+        //! counts are reported 3 s before they are due.
         Duration knownSince {};
         const UsageLedger &ledger;
         //! Returns the text of a report that the copy of the store has.
@@ -121,6 +122,7 @@
     {
         return options_.window * (static_cast<Duration::rep>(window) + 1);
     }
+    bool isSurelyEmpty(UsageWindow window, const View &view) const;
     std::optional<Step> nextReport(const View &view);
     std::optional<Step> nextRemoval(const View &view);
     void dropOld(const View &view);
--- a/tests/gateway/duties/testusagereports.cpp
+++ b/tests/gateway/duties/testusagereports.cpp
@@ -136,6 +136,27 @@
     REQUIRE(!test.store.contains(first)); // Texts of old windows are removed.
 }
 
+SCENARIO("A window has no counts")
+{
+    // Guards against an empty report of requests whose counts are late or were lost by a restart.
+    Reporters test;
+    const auto first = static_cast<UsageWindow>(test.now / 5s);
+    const auto end = test.now + 5s;
+    const auto next = [&](Duration knownSince) {
+        return test.reporters.front().reports.next({ test.now, Instant(test.now), Instant(end - 1h),
+                                                     knownSince, test.reporters.front().ledger,
+                                                     [](UsageWindow) { return std::nullopt; } });
+    };
+    test.now = end + 6s;
+    REQUIRE(!next(end - 5s));
+    test.now = end + 7s;
+    REQUIRE(!next(end - 4s)); // The process has not seen the whole window.
+    const auto step = next(end - 5s);
+    REQUIRE(step);
+    REQUIRE(step->window == first);
+    REQUIRE(step->counts.empty());
+}
+
 TEST_CASE("Counts reach the holder despite lost, doubled and late datagrams")
 {
     // Guards against requests that are counted twice or lost on the way to the holder.
