--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -81,6 +81,13 @@
     std::function<void(KnownServer &)> requestSent;
     //! Reports that the server has announced that it is leaving.
     std::function<void(KnownServer &)> serverLeaves;
+    //! Reports that a request of the team has begun to run at a server, for usage reports, and
+    //! whether it had begun at another server before.
+    std::function<void(const TeamName &, bool isRepeat)> requestBegan;
+    //! Reports work that was sent to a server of the pool, for the ordering of servers.
+    std::function<void(const PoolName &, const ServerLoad &)> workSent;
+    //! Reports that events of a stream have arrived from a server of the pool.
+    std::function<void(const PoolName &, std::uint64_t count)> eventsReceived;
 
     std::unordered_set<std::shared_ptr<ForwardedRequest>> open; //!< Without a final response.
     //! The request that is chosen as a trial of a refused part and not sent yet, or null.
