Gateway: Take removals of servers back after a loss

Cause: the RapidCheck property of the ordering found a removal, planned before the loss of a zone, that was sent after it and left less than the need. Change: a plan that has too few servers takes removals back that the entries do not show yet.

--- a/src/gateway/scaling/serverplan.cpp
+++ b/src/gateway/scaling/serverplan.cpp
@@ -325,11 +325,13 @@
 
 void ServerPlan::decrease(const PoolScaling &scaling, Instant now)
 {
-    if (now - *steppedAt_ < kStepTime)
-        return;
     const auto floor = isStuck() ? need_ : std::max(goal_, total_);
     const auto settledAll = settledOf(ServerKind::Regular) + settledOf(ServerKind::Spot);
-    const auto spare = lessBy(settledAll, floor);
+    if (settledAll < floor)
+        keepLive(floor - settledAll, scaling.max);
+    if (settledAll < floor || now - *steppedAt_ < kStepTime)
+        return;
+    const auto spare = settledAll - floor;
     const auto step = std::max(1U, roundUp(kStepShare * goal_, goal_));
     auto allowance = std::min(spare, step);
     const auto before = wanted_;
@@ -339,6 +341,21 @@
         steppedAt_ = now;
 }
 
+// Takes removals back that have not been carried out, as other servers were lost in the meantime.
+void ServerPlan::keepLive(std::uint32_t count, std::uint32_t max)
+{
+    for (auto &[zone, state] : zones_) {
+        auto &wanted = wanted_[zone];
+        for (const auto kind : kServerKinds) {
+            const auto room = lessBy(max, wanted[kind] + wanted[otherKind(kind)]);
+            const auto kept =
+                std::min({ count, room, lessBy(state.present.live[kind], wanted[kind]) });
+            wanted[kind] += kept;
+            count -= kept;
+        }
+    }
+}
+
 void ServerPlan::decreaseKind(ServerKind kind, std::uint32_t min, std::uint32_t &allowance)
 {
     const auto zones = byCost();
--- a/src/gateway/scaling/serverplan.h
+++ b/src/gateway/scaling/serverplan.h
@@ -100,6 +100,7 @@
     void setTargets(ServerKind kind, const Shares &shares, Instant now);
     void increase(const PoolScaling &scaling);
     void decrease(const PoolScaling &scaling, Instant now);
+    void keepLive(std::uint32_t count, std::uint32_t max);
     void decreaseKind(ServerKind kind, std::uint32_t min, std::uint32_t &allowance);
     std::uint32_t settled(const AvailabilityZone &zone, ServerKind kind) const;
     std::uint32_t settledOf(ServerKind kind) const;
