Gateway: Count servers that are starting when a zone refuses more

Cause: the property found orders that cut spot servers that were still starting, because a further order for the zone was refused and only live servers counted. Change: a refused zone has the servers of its last accepted order until they are due.

--- a/src/gateway/scaling/serverkind.h
+++ b/src/gateway/scaling/serverkind.h
@@ -42,6 +42,7 @@
 {
     PerKind<std::uint32_t> live;
     PerKind<std::uint32_t> leaving;
+    PerKind<std::uint32_t> due; //!< Live servers with those that are starting; at least live.
     PerKind<bool> isRefused; //!< The platform had no servers of the kind within the last seconds.
 };
 
--- a/src/gateway/scaling/serverordering.cpp
+++ b/src/gateway/scaling/serverordering.cpp
@@ -2,6 +2,8 @@
 
 #include "jsondocument.h"
 
+#include <algorithm>
+
 namespace crocusport {
 
 namespace {
@@ -160,9 +162,13 @@
             pool.orders.noteReclaimed(zone, now);
         }
     }
-    for (const auto &[zone, counts] : pool.plan.wanted()) {
-        for (const auto kind : kServerKinds)
-            pool.present[zone].isRefused[kind] = pool.orders.isRefused(zone, kind, now);
+    for (const auto &[zone, counts] : pool.plan.wanted())
+        pool.present.try_emplace(zone);
+    for (auto &[zone, present] : pool.present) {
+        for (const auto kind : kServerKinds) {
+            present.isRefused[kind] = pool.orders.isRefused(zone, kind, now);
+            present.due[kind] = std::max(present.live[kind], pool.orders.due(zone, kind, now));
+        }
     }
 }
 
--- a/src/gateway/scaling/serverorders.cpp
+++ b/src/gateway/scaling/serverorders.cpp
@@ -156,6 +156,7 @@
         if (order.count < std::max(state.live, state.accepted.value_or(0)))
             state.reducedAt = now;
         state.accepted = order.count;
+        state.dueUntil = now + bootTime_ + kEntryMargin;
         state.refusal = {};
         break;
     case OrderOutcome::NoneAvailable:
@@ -176,8 +177,10 @@
 void ServerOrders::noteReclaimed(const AvailabilityZone &zone, Instant now)
 {
     auto &state = zones_[zone].kinds[ServerKind::Spot];
-    if (!state.reducedAt || now - *state.reducedAt >= kDrainTime)
-        state.refusedUntil = std::max(state.refusedUntil, now + kMinRefusal);
+    if (state.reducedAt && now - *state.reducedAt < kDrainTime)
+        return;
+    state.refusedUntil = std::max(state.refusedUntil, now + kMinRefusal);
+    state.dueUntil = now;
 }
 
 void ServerOrders::refuse(KindState &state, Instant now)
@@ -192,4 +195,13 @@
     return found != zones_.end() && now < found->second.kinds[kind].refusedUntil;
 }
 
+std::uint32_t ServerOrders::due(const AvailabilityZone &zone, ServerKind kind, Instant now) const
+{
+    const auto found = zones_.find(zone);
+    if (found == zones_.end())
+        return 0;
+    const auto &state = found->second.kinds[kind];
+    return now < state.dueUntil ? state.accepted.value_or(0) : 0;
+}
+
 } // namespace crocusport
--- a/src/gateway/scaling/serverorders.h
+++ b/src/gateway/scaling/serverorders.h
@@ -56,6 +56,9 @@
     //! Whether the platform had no servers of \a kind in \a zone within the last seconds.
     bool isRefused(const AvailabilityZone &zone, ServerKind kind, Instant now) const;
 
+    //! Returns the servers of the last accepted order while they may be starting, else 0.
+    std::uint32_t due(const AvailabilityZone &zone, ServerKind kind, Instant now) const;
+
     //! After this time without an outcome, an order counts as unanswered.
     static constexpr Duration kOutcomeTime = std::chrono::seconds(5);
     //! Servers that were ordered away are gone after at most this time.
@@ -73,6 +76,7 @@
         std::optional<OrderOutcome> outcome;   //!< Of the last order.
         Instant sentAt {};
         Instant outcomeAt {};
+        Instant dueUntil {};              //!< When the servers of the last accepted order are live.
         std::optional<Instant> reducedAt; //!< Time of the last accepted order for fewer.
         //! An order was unanswered; reset when the entries have matched for a time.
         bool isDoubtful = false;
--- a/src/gateway/scaling/serverplan.cpp
+++ b/src/gateway/scaling/serverplan.cpp
@@ -178,10 +178,10 @@
     std::vector<ZoneOption> options;
     for (const auto &[zone, state] : zones_) {
         const auto least = std::min(scaling.min, scaling.max);
-        const auto live = std::min(state.present.live[ServerKind::Spot], scaling.max);
+        const auto due = std::min(state.present.due[ServerKind::Spot], scaling.max);
         const bool isRefused = state.present.isRefused[ServerKind::Spot];
         options.push_back(
-            { zone, state.cost, least, isRefused ? std::max(least, live) : scaling.max });
+            { zone, state.cost, least, isRefused ? std::max(least, due) : scaling.max });
     }
     return options;
 }
@@ -214,7 +214,7 @@
     for (const auto &[zone, state] : zones_) {
         if (state.present.isRefused[ServerKind::Spot]) {
             regulars[zone] =
-                std::max(regulars[zone], lessBy(scaling.min, state.present.live[ServerKind::Spot]));
+                std::max(regulars[zone], lessBy(scaling.min, state.present.due[ServerKind::Spot]));
         }
     }
     setTargets(ServerKind::Regular, regulars, now);
@@ -226,10 +226,10 @@
     std::vector<ZoneOption> options;
     for (const auto &[zone, state] : zones_) {
         const auto least = std::min(scaling.min, scaling.max);
-        const auto live = std::min(state.present.live[ServerKind::Regular], scaling.max);
+        const auto due = std::min(state.present.due[ServerKind::Regular], scaling.max);
         const bool isRefused = state.present.isRefused[ServerKind::Regular];
         options.push_back(
-            { zone, state.cost, least, isRefused ? std::max(least, live) : scaling.max });
+            { zone, state.cost, least, isRefused ? std::max(least, due) : scaling.max });
     }
     const auto total = std::max(total_, need_);
     const auto even = static_cast<double>(total) / static_cast<double>(options.size());
@@ -258,7 +258,7 @@
         isAdded = false;
         for (const auto &zone : zones) {
             const auto &present = zones_.at(zone).present;
-            const auto others = std::min(present.live[ServerKind::Spot], spot.at(zone));
+            const auto others = std::min(present.due[ServerKind::Spot], spot.at(zone));
             if (sum >= count || present.isRefused[ServerKind::Regular]
                 || shares[zone] + others >= scaling.max) {
                 continue;
@@ -288,11 +288,10 @@
             const auto target = state.kinds[kind].target.value();
             if (target <= wanted[kind])
                 continue;
-            const auto live = state.present.live[other];
+            const auto due = state.present.due[other];
             if (kind == ServerKind::Regular && state.present.isRefused[other])
-                wanted[other] =
-                    std::min(wanted[other], std::max(live, lessBy(scaling.max, target)));
-            const auto taken = std::max(wanted[other], live);
+                wanted[other] = std::min(wanted[other], std::max(due, lessBy(scaling.max, target)));
+            const auto taken = std::max(wanted[other], due);
             const auto count = std::min(target, lessBy(scaling.max, taken));
             isRoomShort_ = isRoomShort_ || count < target;
             if (count <= wanted[kind])
@@ -347,10 +346,14 @@
     for (auto &[zone, state] : zones_) {
         auto &wanted = wanted_[zone];
         for (const auto kind : kServerKinds) {
-            const auto room = lessBy(max, wanted[kind] + wanted[otherKind(kind)]);
+            const auto other = otherKind(kind);
+            const auto room = lessBy(max, wanted[kind] + state.present.live[other]);
             const auto kept =
                 std::min({ count, room, lessBy(state.present.live[kind], wanted[kind]) });
+            if (kept == 0)
+                continue;
             wanted[kind] += kept;
+            wanted[other] = std::min(wanted[other], lessBy(max, wanted[kind]));
             count -= kept;
         }
     }
