--- a/src/gateway/duties/dutyreport.cpp
+++ b/src/gateway/duties/dutyreport.cpp
@@ -48,7 +48,7 @@
     {
         reserve(pool.value().size() + kDemandBytes);
         demand_.push_back({ pool.value(), demand.requests, demand.prefillTokens,
-                            demand.outputTokens, demand.runningRequests });
+                            demand.outputTokens, demand.running });
     }
 
     std::vector<std::string> take()
--- a/src/gateway/duties/gatewayduties.cpp
+++ b/src/gateway/duties/gatewayduties.cpp
@@ -173,7 +173,7 @@
     auto demand = demand_;
     parts_.servers.forEach([&](const ServerDirectory::ServerPointer &server) {
         if (server->own.requests > 0)
-            demand[server->entry.pool].runningRequests += server->own.requests;
+            demand[server->entry.pool].running += server->own.requests;
     });
     return demand;
 }
--- a/src/gateway/scaling/pooldemand.h
+++ b/src/gateway/scaling/pooldemand.h
@@ -5,14 +5,13 @@
 
 namespace crocusport {
 
-//! The work that one router has sent to the servers of one pool. All but runningRequests count
-//! from the start of the router's process.
+//! The work that one router has sent to the servers of a pool since its process started.
 struct PoolDemand
 {
     std::uint64_t requests = 0;
-    std::uint64_t prefillTokens = 0; //!< Prompt tokens that were not expected to be cached.
-    std::uint64_t outputTokens = 0;  //!< Events of streams that have arrived.
-    std::uint64_t runningRequests = 0;
+    std::uint64_t prefillTokens = 0; //!< Prompt tokens that the servers had not cached.
+    std::uint64_t outputTokens = 0;
+    std::uint32_t running = 0; //!< Requests that run now; the only value that may fall.
 
     bool operator==(const PoolDemand &) const = default;
 };
