Gateway: Send the orders of servers while this router holds the duties

Cause: the plan of servers was decided but not ordered. Change: ServerOrderCalls passes the demand that routers report to ServerOrdering, sends its orders and keeps the plan in the store for the next holder.

--- a/src/gateway/duties/dutystore.cpp
+++ b/src/gateway/duties/dutystore.cpp
@@ -99,6 +99,13 @@
     calls_.start(std::move(request), kCallTimeout, {}, [](const auto &, const auto &) {});
 }
 
+void DutyStore::put(const std::string &key, const std::string &value)
+{
+    auto request = formats_.putCall(key, value);
+    request.address = address_;
+    calls_.start(std::move(request), kCallTimeout, {}, [](const auto &, const auto &) {});
+}
+
 void DutyStore::remove(const std::string &key)
 {
     auto request = formats_.removeCall(key);
--- a/src/gateway/duties/dutystore.h
+++ b/src/gateway/duties/dutystore.h
@@ -37,6 +37,8 @@
     void keepAlive(LeaseId lease, StoreCallback<LeaseId> onLease);
     //! Ends the lease and removes its keys. Failures are ignored; the lease then ends by itself.
     void endLease(LeaseId lease);
+    //! Writes \a value without a condition. Failures are ignored.
+    void put(const std::string &key, const std::string &value);
     //! Removes \a key, whether it exists or not. Failures are ignored.
     void remove(const std::string &key);
 
--- a/src/gateway/duties/gatewayduties.h
+++ b/src/gateway/duties/gatewayduties.h
@@ -80,6 +80,8 @@
 
     //! Sets the handler of the demand that routers report while this router is the holder.
     void setDemandHandler(DemandHandler onDemand) { onDemand_ = std::move(onDemand); }
+    //! Whether this router is the holder by the copy of the store.
+    bool isNamedHolder() const { return holderOwner_ == owner_; }
     //! Whether this router may make a duty call now.
     bool mayAct() const { return holder_.token(bootNow()).has_value(); }
     /*!
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -230,6 +230,9 @@
     if (settings_.duties.isEnabled())
         duties_ = std::make_unique<GatewayDuties>(GatewayDuties::Parts {
             settings_, formats_, storeClient_, *exchange_, directory_, feed_->mirror(), log_ });
+    if (duties_ && settings_.duties.ordersServers)
+        orders_ = std::make_unique<ServerOrderCalls>(
+            ServerOrderCalls::Parts { *duties_, directory_, feed_->mirror(), log_ });
     tickTimer_.startPeriodic(kTickInterval);
     log_.write(LogLine("router_started")
                    .add("router", settings_.router.value())
@@ -640,6 +643,8 @@
                       static_cast<double>(callbackFailures()));
     if (duties_)
         duties_->describe(metrics_);
+    if (orders_)
+        orders_->describe(metrics_);
     exchange.reply(kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text());
 }
 
@@ -652,6 +657,8 @@
     exchange_->tick(now);
     if (duties_)
         duties_->tick();
+    if (orders_ && table_)
+        orders_->tick(*table_, now);
     updateRegistration();
     if (feed_->mirror().isComplete()) {
         const auto rank = exchange_->routers().rank(uptime());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gatewayservices.h"
 #include "registration.h"
 #include "routerexchange.h"
+#include "serverordercalls.h"
 #include "storeditems.h"
 #include "storefeed.h"
 
@@ -125,7 +126,8 @@
     std::unique_ptr<StoredItems> storedItems_;
     std::unique_ptr<StoreFeed> feed_;
     std::unique_ptr<Registration> registration_;
-    std::unique_ptr<GatewayDuties> duties_; //!< Null if no duty is enabled.
+    std::unique_ptr<GatewayDuties> duties_;    //!< Null if no duty is enabled.
+    std::unique_ptr<ServerOrderCalls> orders_; //!< Null if no servers are ordered.
     Timer tickTimer_;
     Timer waitingTimer_;
     Instant startedAt_ = monotonicNow();
