--- a/src/gateway/scaling/serverplan.cpp
+++ b/src/gateway/scaling/serverplan.cpp
@@ -371,16 +371,17 @@
 
 void ServerPlan::decreaseKind(ServerKind kind, std::uint32_t min, std::uint32_t &allowance)
 {
-    const auto zones = byCost();
-    for (auto zone = zones.rbegin(); zone != zones.rend(); ++zone) {
-        auto &state = zones_.at(*zone).kinds[kind];
-        auto &wanted = wanted_.at(*zone)[kind];
+    auto zones = byCost();
+    std::reverse(zones.begin(), zones.end());
+    for (const auto &zone : zones) {
+        auto &state = zones_.at(zone).kinds[kind];
+        auto &wanted = wanted_.at(zone)[kind];
         const auto target =
-            std::max(state.target.value(), lessBy(min, settled(*zone, otherKind(kind))));
+            std::max(state.target.value(), lessBy(min, settled(zone, otherKind(kind))));
         if (wanted <= target)
             continue;
         // The platform chooses which servers leave: as many live ones as possible are assumed.
-        const auto live = settled(*zone, kind);
+        const auto live = settled(zone, kind);
         const auto removed =
             allowance >= live ? wanted - target : std::min(wanted - target, allowance);
         if (removed == 0)
