--- a/src/gateway/duties/gatewayduties.cpp
+++ b/src/gateway/duties/gatewayduties.cpp
@@ -51,8 +51,8 @@
 
 } // namespace
 
-GatewayDuties::GatewayDuties(Parts parts)
-    : parts_(std::move(parts)), incarnation_(randomIncarnation()),
+GatewayDuties::GatewayDuties(const Parts &parts)
+    : parts_(parts), incarnation_(randomIncarnation()),
       owner_(parts_.settings.router.value() + ' ' + parts_.exchange.self().address.value()),
       trueTime_(wallClock(), uptime()), knownSince_(trueTime_.now(uptime())),
       reports_({ parts_.settings.duties.usageWindow, parts_.settings.duties.usageDelay }),
--- a/src/gateway/duties/gatewayduties.h
+++ b/src/gateway/duties/gatewayduties.h
@@ -51,7 +51,7 @@
                                              const PoolDemand &demand)>;
     using OrderHandler = std::function<void(DutyOutcome outcome)>;
 
-    explicit GatewayDuties(Parts parts);
+    explicit GatewayDuties(const Parts &parts);
 
     GatewayDuties(const GatewayDuties &) = delete;
     GatewayDuties &operator=(const GatewayDuties &) = delete;
