Gateway tests: Shorten the duties' scenarios

Windows without counts are reported 3 s before they are due, so a delay of 10 s made the scenarios wait.

--- a/tests/platform/testduties.cpp
+++ b/tests/platform/testduties.cpp
@@ -42,7 +42,7 @@
         deployment.duties.callsPerSecond = 50;
         deployment.duties.lease = kLease;
         deployment.duties.usageWindow = std::chrono::seconds(1);
-        deployment.duties.usageDelay = std::chrono::seconds(10);
+        deployment.duties.usageDelay = std::chrono::seconds(4);
         deployment.configure(1);
         deployment.registerServer(deployment.first);
         start();
