Transport, gateway: Report requests of which no byte was written as not sent

A pooled connection that its server had closed, but whose close the event loop had not reported yet, carried the next request all the same. The request counted as possibly run, so a request that may run only once ended with 502. The client now checks a pooled connection for a close before it writes, and a request that the socket has not taken any byte of counts as not sent; the gateway sends such requests to another server. A request that was written in part still counts as possibly run. A request whose deadline passes while its connection is being made gets 503 instead of 504.

--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -712,8 +712,7 @@
 void ForwardedRequest::onDeadline()
 {
     const auto self = shared_from_this();
-    if (call_)
-        mayHaveRun_ = true;
+    mayHaveRun_ = mayHaveRun_ || (call_ && isSent());
     if (ticket_)
         services_.waiting.remove(pool_, *std::exchange(ticket_, std::nullopt));
     finishFault(ResultCode::DeadlinePassed);
--- a/src/transport/callstate.h
+++ b/src/transport/callstate.h
@@ -36,6 +36,8 @@
     bool confirmSending();
     //! The request has been handed to the socket buffer.
     void markSent();
+    //! The connection has closed before the socket took any byte of the request.
+    void markUnsent() { isSent_ = false; }
     //! Bytes of the response have been received.
     void markReceived();
     //! See HttpCall::reportProgress().
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 namespace crocusport {
@@ -109,8 +110,13 @@
     }
     interimResponses_ = 0;
     droppedResponses_ = 0;
+    requestBytes_ = 0;
     startParser();
-    if (isConnected_)
+    // The event loop reports a close only after the current callback. A request written until then
+    // could not be repeated safely, although the server does not receive it.
+    if (isConnected_ && isClosedByPeer())
+        CallState::endLater(current, HttpFailure::ClosedBeforeResponse);
+    else if (isConnected_)
         writeRequest();
 }
 
@@ -150,10 +156,29 @@
     auto *const output = bufferevent_get_output(bufferevent_);
     evbuffer_add(output, head.data(), head.size());
     evbuffer_add(output, request.body.data(), request.body.size());
+    requestBytes_ = head.size() + request.body.size();
     call_->markSent();
     bufferevent_enable(bufferevent_, EV_READ | EV_WRITE);
 }
 
+// The output buffer is empty before each request. As long as it holds the whole request, no byte of
+// it has left the process. Once some bytes are written, the server may run the request even if the
+// rest was not.
+bool ClientConnection::isRequestUnwritten() const
+{
+    return requestBytes_ > 0
+        && evbuffer_get_length(bufferevent_get_output(bufferevent_)) == requestBytes_;
+}
+
+bool ClientConnection::isClosedByPeer() const
+{
+    char byte = 0;
+    const auto received =
+        recv(bufferevent_getfd(bufferevent_), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return received == 0
+        || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void ClientConnection::release()
 {
     call_.reset();
@@ -357,6 +382,8 @@
             return;
         }
     }
+    if (isRequestUnwritten())
+        call->markUnsent();
     call->end(call->closedFailure());
 }
 
--- a/src/transport/clientconnection.h
+++ b/src/transport/clientconnection.h
@@ -57,7 +57,12 @@
 
     //! Sets TCP_NODELAY, and the timeouts that close a connection whose peer has vanished.
     void setSocketOptions();
+    //! Whether the peer has closed or reset the connection, also if the event loop has not reported
+    //! it yet.
+    bool isClosedByPeer() const;
     void writeRequest();
+    //! Whether the socket has taken no byte of the current request.
+    bool isRequestUnwritten() const;
     void startParser();
     void readResponse();
     //! Parses received bytes. Returns whether the response is complete.
@@ -76,13 +81,14 @@
     std::shared_ptr<CallState> call_;
     std::optional<Parser> parser_; //!< Parser of the current response.
     Instant expiry_ {};
-    Duration maxIdle_;            //!< From the Keep-Alive header, else from the options.
-    int interimResponses_ = 0;    //!< Interim responses received in the current call.
-    int droppedResponses_ = 0;    //!< Responses discarded in the current call.
-    bool isPooled_ = false;       //!< The current call allows reuse.
-    bool isKeptAlive_ = false;    //!< The current response allows another request.
-    bool isDropping_ = false;     //!< The current response is to be discarded.
-    bool hasCarriedHead_ = false; //!< A call on this connection had the method HEAD.
+    std::size_t requestBytes_ = 0; //!< Size of the current request with its head; 0: not written.
+    Duration maxIdle_;             //!< From the Keep-Alive header, else from the options.
+    int interimResponses_ = 0;     //!< Interim responses received in the current call.
+    int droppedResponses_ = 0;     //!< Responses discarded in the current call.
+    bool isPooled_ = false;        //!< The current call allows reuse.
+    bool isKeptAlive_ = false;     //!< The current response allows another request.
+    bool isDropping_ = false;      //!< The current response is to be discarded.
+    bool hasCarriedHead_ = false;  //!< A call on this connection had the method HEAD.
     bool isConnected_ = false;
     bool isClosed_ = false;
     bool mayBeReused_ = false; //!< The current response is complete and allows another request.
--- a/tests/transport/rawserver.cpp
+++ b/tests/transport/rawserver.cpp
@@ -93,6 +93,12 @@
         bufferevent_write(connection.buffers, bytes.data(), bytes.size());
 }
 
+void RawServer::shutDownAll()
+{
+    for (const auto &connection : connections_)
+        shutdown(bufferevent_getfd(connection.buffers), SHUT_WR);
+}
+
 void RawServer::closeAll()
 {
     while (!connections_.empty())
--- a/tests/transport/rawserver.h
+++ b/tests/transport/rawserver.h
@@ -31,7 +31,9 @@
     int requestCount() const { return requestCount_; }
     //! Sends \a bytes on every open connection.
     void sendToAll(const std::string &bytes);
-    //! Closes every open connection.
+    //! Ends the sending direction of every open connection, before this returns.
+    void shutDownAll();
+    //! Closes every open connection; the loop does so in its next iteration.
     void closeAll();
 
 private:
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -390,6 +390,29 @@
         REQUIRE(server.connectionCount() == 1);
         REQUIRE(server.requestCount() <= 2);
     }
+
+    // Guards against a request that may run only once and is reported as possibly run, although
+    // its connection was closed before a byte of it was written.
+    THEN("a call on the closed connection sends nothing and says so")
+    {
+        server.shutDownAll();
+        CallRecord second;
+        const auto end = endOf(runner, client, request, second);
+        REQUIRE(end.failure == HttpFailure::ClosedBeforeResponse);
+        REQUIRE_FALSE(end.isRequestSent);
+        REQUIRE(server.requestCount() == 1);
+    }
+
+    // Guards against the opposite: a request that the server received is never reported as unsent.
+    THEN("a call that the server closes after the request was written may have run")
+    {
+        CallRecord second;
+        const auto call = client.start(request, second.handlers());
+        REQUIRE(runner.runUntil([&] { return server.requestCount() == 2 || second.end; }));
+        server.closeAll();
+        REQUIRE(runner.runUntil([&] { return second.end.has_value(); }));
+        REQUIRE(second.end->isRequestSent);
+    }
 }
 
 SCENARIO("The connection of a response with more bytes than its length is not reused")
