Gateway: Hold and refuse requests for engines by urgency under pressure

Servers take up to three requests for each slot, so at a crest almost nothing waits in the router: long prompts fill all engines and their queues, urgent requests find no free slot, and the long prompts wait until their callers give up. AdmissionPlan now gives each request a limit for the pool's requests per slot, as all routers measure it from load reports. Requests above their limit wait in the router for at most half of their objective, as before, or are refused at once when the wait must be longer. Retry-After is the expected wait, spread over the routers' turns, at most a third of the time left; requests that come back are preferred.

Metrics count held, refused and returned requests, and request_ended has the fields held and returned.

Not measured under load.

--- a/src/gateway/admission/waitinglist.cpp
+++ b/src/gateway/admission/waitinglist.cpp
@@ -6,12 +6,12 @@
 namespace crocusport {
 
 WaitingList::Ticket WaitingList::add(const PoolName &pool, int priority, Instant latestStart,
-                                     TryStart tryStart)
+                                     TryStart tryStart, IsHeld isHeld)
 {
     const auto ticket = ++lastTicket_;
     const Key key { priority, latestStart, ticket };
     auto &list = pools_[pool];
-    list.waiting.emplace(key, std::move(tryStart));
+    list.waiting.emplace(key, Entry { std::move(tryStart), std::move(isHeld) });
     list.keys.emplace(ticket, key);
     return ticket;
 }
@@ -35,17 +35,22 @@
         if (!pool.waiting.empty())
             names.push_back(name);
     }
-    for (const auto &name : names) {
-        while (true) {
-            auto &list = pools_[name];
-            if (list.waiting.empty())
-                break;
-            const auto ticket = std::get<Ticket>(list.waiting.begin()->first);
-            const auto tryStart = list.waiting.begin()->second;
-            if (!tryStart())
-                break;
-            remove(name, ticket);
+    for (const auto &name : names)
+        startPool(name);
+}
+
+// Starting a request may add others to the list or remove them.
+void WaitingList::startPool(const PoolName &name)
+{
+    auto next = pools_[name].waiting.begin();
+    while (next != pools_[name].waiting.end()) {
+        const auto [key, entry] = *next;
+        if (!entry.isHeld || !entry.isHeld()) {
+            if (!entry.tryStart())
+                return;
+            remove(name, std::get<Ticket>(key));
         }
+        next = pools_[name].waiting.upper_bound(key);
     }
 }
 
@@ -55,6 +60,14 @@
     return list == pools_.end() ? 0 : list->second.waiting.size();
 }
 
+std::size_t WaitingList::size() const
+{
+    std::size_t sum = 0;
+    for (const auto &[name, pool] : pools_)
+        sum += pool.waiting.size();
+    return sum;
+}
+
 bool WaitingList::empty() const
 {
     return std::all_of(pools_.begin(), pools_.end(),
--- a/src/gateway/admission/waitinglist.h
+++ b/src/gateway/admission/waitinglist.h
@@ -30,24 +30,38 @@
     using TryStart = std::function<bool()>;
     using Ticket = std::uint64_t;
 
-    Ticket add(const PoolName &pool, int priority, Instant latestStart, TryStart tryStart);
+    //! Returns whether the request must not start now for a reason of its own, so that the requests
+    //! behind it may start. Must not change the list.
+    using IsHeld = std::function<bool()>;
+
+    Ticket add(const PoolName &pool, int priority, Instant latestStart, TryStart tryStart,
+               IsHeld isHeld = {});
     //! Removes a request. Does nothing if the request is no longer in the list.
     void remove(const PoolName &pool, Ticket ticket);
-    //! Starts requests of all pools in order. The first request of a pool that cannot start blocks
-    //! the requests behind it in the same pool.
+    //! Starts requests of all pools in order, except held ones. The first other request of a pool
+    //! that cannot start blocks the requests behind it in the same pool.
     void startAll();
     std::size_t size(const PoolName &pool) const;
+    //! Returns the number of waiting requests of all pools.
+    std::size_t size() const;
     bool empty() const;
 
 private:
     using Key = std::tuple<int, Instant, Ticket>;
 
+    struct Entry
+    {
+        TryStart tryStart;
+        IsHeld isHeld;
+    };
     struct Pool
     {
-        std::map<Key, TryStart> waiting;
+        std::map<Key, Entry> waiting;
         std::unordered_map<Ticket, Key> keys;
     };
 
+    void startPool(const PoolName &name);
+
     std::unordered_map<PoolName, Pool> pools_;
     Ticket lastTicket_ = 0;
 };
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -40,8 +40,6 @@
 constexpr int kMaxRefusedAttempts = 2;
 // Timeout of routes that configure none.
 constexpr Duration kDefaultTimeout = std::chrono::seconds(60);
-// Share of the latency objective for which a request may wait for a free server.
-constexpr double kWaitShare = 0.5;
 // Retry-After for callers when the router itself cannot serve the request.
 constexpr Duration kRetryAfterUnready = std::chrono::milliseconds(500);
 // Retry-After for callers of a request that was running in several crashes of servers.
@@ -94,6 +92,7 @@
 ForwardedRequest::ForwardedRequest(GatewayServices &services,
                                    std::shared_ptr<HttpExchange> exchange)
     : services_(services), exchange_(std::move(exchange)), account_(exchange_->arrival()),
+      admission_(services.admission),
       deadlineTimer_(services.loop, [this] { guard([this] { onDeadline(); }); }),
       waitTimer_(services.loop, [this] { guard([this] { onWaitedTooLong(); }); }),
       heldAnswer_(services.answerMemory), unreadAnswer_(services.answerMemory)
@@ -143,9 +142,27 @@
     deadlineTimer_.startOnce(std::max(deadline_ - monotonicNow(), Duration::zero()));
     services_.retryWindow(pool_).noteRequest(monotonicNow());
     lastEventId_ = request_.lastEventId;
+    beginAdmission();
     place();
 }
 
+// A resumed stream is not held: its caller has a part of the response.
+void ForwardedRequest::beginAdmission()
+{
+    const auto *const pool = table_->findPool(pool_);
+    if (!services_.settings.holdsUnderPressure || !pool || !pool->engine || lastEventId_)
+        return;
+    AdmissionFacts facts;
+    facts.pool = pool_;
+    facts.urgency = urgency_;
+    facts.deadline = deadline_;
+    facts.target = route_.target;
+    facts.promptTokens = work_.promptTokens;
+    facts.fingerprint = fingerprint_;
+    facts.draw = admissionDraw(request_.id);
+    admission_.begin(std::move(facts), monotonicNow());
+}
+
 bool ForwardedRequest::findRoute()
 {
     const auto *const route = table_->findRoute(request_.host, exchange_->path());
@@ -272,12 +289,14 @@
         finishFault(ResultCode::SuspectedCrashCause);
         return true;
     }
-    if (!services_.mayUseStoreCopy())
+    if (!services_.mayUseStoreCopy() || admission_.isHeld(monotonicNow()))
         return false;
     const auto choice = services_.selector.choose(pool_, services_.table()->findPool(pool_), work_,
                                                   excluded_, monotonicNow());
     if (!choice.server)
         return false;
+    if (!admission_.accepts(*choice.server, choice.added.prefillTokens, monotonicNow()))
+        return false;
     if (isTrial_)
         services_.trialStarted(sharedParts_);
     startAttempt(choice);
@@ -287,14 +306,16 @@
 void ForwardedRequest::wait()
 {
     // If all servers have asked for longer pauses, waiting would only delay the rejection.
-    const auto pause = services_.selector.pause(pool_, monotonicNow());
-    if (monotonicNow() + pause > latestWait()) {
-        finishFault(ResultCode::QueueFull);
+    const auto now = monotonicNow();
+    const auto pause = services_.selector.pause(pool_, now);
+    const auto latestWait = admission_.latestWait(exchange_->arrival(), route_.target, now);
+    if (!latestWait || now + pause > *latestWait) {
+        finishFault(latestWait ? ResultCode::QueueFull : ResultCode::DeadlineUnreachable);
         return;
     }
-    const auto latestStart = exchange_->arrival() + route_.target;
+    const auto latestStart = admission_.latestStart(exchange_->arrival(), route_.target);
     const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-    ticket_ = services_.waiting.add(pool_, urgency_, latestStart, [weak] {
+    const auto tryStart = [weak] {
         const auto self = weak.lock();
         if (!self || self->isEnded_ || !self->ticket_)
             return true;
@@ -308,14 +329,14 @@
                 self->ticket_ = ticket;
         });
         return isPlaced;
-    });
+    };
+    const auto isHeld = [weak] {
+        const auto self = weak.lock();
+        return self && !self->isEnded_ && self->admission_.isHeld(monotonicNow());
+    };
+    ticket_ = services_.waiting.add(pool_, urgency_, latestStart, tryStart, isHeld);
     if (!waitTimer_.isActive())
-        waitTimer_.startOnce(std::max(latestWait() - monotonicNow(), Duration::zero()));
-}
-
-Instant ForwardedRequest::latestWait() const
-{
-    return exchange_->arrival() + std::chrono::duration_cast<Duration>(route_.target * kWaitShare);
+        waitTimer_.startOnce(std::max(*latestWait - now, Duration::zero()));
 }
 
 void ForwardedRequest::onWaitedTooLong()
@@ -366,6 +387,7 @@
     handlers.onEnd = [this](const HttpCallEnd &callEnd) { guard([&] { onEnd(callEnd); }); };
     call_ = services_.backends.start(makeCall(*server_), std::move(handlers));
     ++sentAttempts_;
+    admission_.noteSent(now);
     // On a new connection, onReady reports it.
     if (!call_->isOnNewConnection())
         services_.requestSent(*server_);
@@ -744,10 +766,12 @@
         return;
     }
     if (!mayHaveRun_) {
-        const auto pause = services_.selector.pause(pool_, monotonicNow());
+        const auto now = monotonicNow();
+        const auto pause = services_.selector.pause(pool_, now);
         const bool isCrashCause = code == ResultCode::SuspectedCrashCause;
         refuse(kUnavailable, code,
-               isCrashCause ? retryAfterCrashes() : std::max<Duration>(kRetryAfterUnready, pause));
+               isCrashCause ? retryAfterCrashes()
+                            : admission_.retryAfter(pause, services_.routerCount(), now));
         return;
     }
     const int status = code == ResultCode::DeadlinePassed ? kGatewayTimeout : kBadGateway;
@@ -822,6 +846,7 @@
         .add("knowledge_age_ms", storeCopyAgeMs())
         .add("load_age_ms", std::chrono::duration_cast<Milliseconds>(services_.loadAge()).count());
     account_.describe(line, now);
+    admission_.describe(line);
     services_.log.write(line.text());
     services_.open.erase(shared_from_this());
 }
--- a/src/gateway/forwardedrequest.h
+++ b/src/gateway/forwardedrequest.h
@@ -5,6 +5,7 @@
 #include "eventsplitter.h"
 #include "gatewayservices.h"
 #include "requestaccount.h"
+#include "requestadmission.h"
 
 #include "crocusport/transport/timer.h"
 
@@ -66,11 +67,11 @@
     //! Time after which a request refused as crash cause is worth sending again.
     Duration retryAfterCrashes() const;
 
+    //! Applies the plan of admission if the request is for a model engine and the plan is enabled.
+    void beginAdmission();
     void place();
     bool tryPlace();
     void wait();
-    //! Until when the request may wait for a free server.
-    Instant latestWait() const;
     void onWaitedTooLong();
     void startAttempt(const ServerSelector::Choice &choice);
     HttpCallRequest makeCall(const KnownServer &server) const;
@@ -118,6 +119,7 @@
     GatewayServices &services_;
     std::shared_ptr<HttpExchange> exchange_;
     RequestAccount account_;
+    RequestAdmission admission_;
     IncomingRequest request_;
     std::shared_ptr<const RoutingTable> table_; //!< Table at the last attempt, or at the arrival.
     Route route_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -114,6 +114,7 @@
           prefixes_,
           selector_,
           waiting_,
+          admission_,
           silence_,
           crashes_,
           parts_,
@@ -562,8 +563,28 @@
         exchange.reply(isReady() ? kOk : kUnavailable, {}, "");
 }
 
+void Gateway::setAdmissionGauges()
+{
+    const auto &counts = admission_.counts();
+    metrics_.setGauge("crocusport_waiting_requests", "Requests that wait for a backend server.",
+                      static_cast<double>(waiting_.size()));
+    for (std::size_t i = 1; i < counts.refused.size(); ++i) {
+        const std::string reason(holdReasonName(static_cast<HoldReason>(i)));
+        metrics_.setGauge("crocusport_refused_" + reason,
+                          "Requests refused for the reason " + reason + " since the start.",
+                          static_cast<double>(counts.refused.at(i)));
+    }
+    metrics_.setGauge("crocusport_sent_under_pressure",
+                      "Requests sent since the start while others of their kind were held.",
+                      static_cast<double>(counts.sentUnderPressure));
+    metrics_.setGauge("crocusport_returned_requests",
+                      "Requests that came back after a refusal since the start.",
+                      static_cast<double>(counts.returned));
+}
+
 void Gateway::answerMetrics(HttpExchange &exchange)
 {
+    setAdmissionGauges();
     metrics_.setGauge("crocusport_open_requests", "Requests without their final answer.",
                       static_cast<double>(services_.open.size()));
     metrics_.setGauge("crocusport_backend_servers", "Registered backend servers.",
@@ -634,6 +655,7 @@
         prefixes_.expire(now);
         crashes_.expire(now);
         parts_.expire(now);
+        admission_.expire(now);
         // For routers that have just started, or that have missed the reports.
         for (const auto &refusal : parts_.nextRefusals(kMaxReminders))
             exchange_->notePartReport(refusal);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,6 +90,7 @@
     Duration configurationAge() const;
     RetryWindow &retryWindow(const PoolName &pool);
     void answerReady(HttpExchange &exchange) const;
+    void setAdmissionGauges();
     void answerMetrics(HttpExchange &exchange);
     void tick();
     void continueShutdown();
@@ -107,6 +108,7 @@
     PrefixMemory prefixes_;
     ServerSelector selector_;
     WaitingList waiting_;
+    AdmissionPlan admission_ { directory_ };
     SilenceLimits silence_;
     CrashLedger crashes_;
     PartCrashLedger parts_;
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_GATEWAYSERVICES_H
 #define CROCUSPORT_GATEWAYSERVICES_H
 
+#include "admissionplan.h"
 #include "answermemory.h"
 #include "formattable.h"
 #include "partcrashledger.h"
@@ -41,6 +42,7 @@
     PrefixMemory &prefixes;
     ServerSelector &selector;
     WaitingList &waiting;
+    AdmissionPlan &admission;
     SilenceLimits &silence;
     CrashLedger &crashes;
     PartCrashLedger &parts;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -167,6 +167,16 @@
     };
 }
 
+Entry admissionEntry()
+{
+    return switchEntry("admission.enabled",
+                       "Whether requests for model engines are held or refused by urgency when "
+                       "nearly all slots of their pool are taken.",
+                       [](GatewaySettings &settings, const KeyValue &value) {
+                           settings.holdsUnderPressure = choiceOf<bool>(kYesNo, value);
+                       });
+}
+
 const std::vector<Entry> &entries()
 {
     static const auto kEntries = [] {
@@ -175,6 +185,7 @@
             all.push_back(entry);
         for (auto &entry : dutyEntries())
             all.push_back(entry);
+        all.push_back(admissionEntry());
         return all;
     }();
     return kEntries;
--- a/tests/gateway/admission/testwaitinglist.cpp
+++ b/tests/gateway/admission/testwaitinglist.cpp
@@ -65,3 +65,31 @@
         REQUIRE(list.size(pool) == 1);
     }
 }
+
+// Guards against requests that are held for a reason of their own and block those behind them.
+SCENARIO("A waiting request is held while later ones may start")
+{
+    const PoolName pool("assistant");
+    const Instant now(std::chrono::seconds(10));
+    WaitingList list;
+    std::vector<std::string> started;
+    bool isHeld = true;
+    const auto add = [&](const std::string &name, WaitingList::IsHeld held) {
+        list.add(
+            pool, 1, now,
+            [&, name] {
+                started.push_back(name);
+                return true;
+            },
+            std::move(held));
+    };
+    add("held", [&] { return isHeld; });
+    add("next", {});
+    list.startAll();
+    REQUIRE(started == std::vector<std::string> { "next" });
+    REQUIRE(list.size() == 1);
+    isHeld = false;
+    list.startAll();
+    REQUIRE(started == std::vector<std::string> { "next", "held" });
+    REQUIRE(list.empty());
+}
