WaitingList: Share capacity among teams of equal urgency

A team that sent several times its usual load took the capacity of the others, since waiting requests of equal urgency started by their latest start alone. Each urgency of a pool now has a FairQueue over the expected engine work of its teams, with equal weights. Without the plan of admission all requests count as one team, so the order is as before.

Not measured under load.

--- a/src/gateway/admission/admissionplan.h
+++ b/src/gateway/admission/admissionplan.h
@@ -25,6 +25,8 @@
     Instant deadline {}; //!< The caller gives up at this time.
     Duration target {};  //!< Latency objective; for streams, until the first event.
     std::uint32_t promptTokens = 0;
+    std::uint32_t outputTokens = 0; //!< Expected.
+    TeamName team;
     Fingerprint fingerprint; //!< The same when the caller sends the request again.
     double draw = 0;         //!< Evenly distributed over requests, from 0 to below 1.
     bool isReturned = false; //!< This router refused the same request shortly before.
--- a/src/gateway/admission/requestadmission.cpp
+++ b/src/gateway/admission/requestadmission.cpp
@@ -12,6 +12,11 @@
 // Retry-After for callers when the router itself cannot serve the request.
 constexpr Duration kRetryAfterUnready = std::chrono::milliseconds(500);
 
+// Work of a usual engine for one token, relative to its other requests. Generation of a token takes
+// one of about 16 slots for 15 ms.
+constexpr Duration kOutputTokenWork = std::chrono::microseconds(1000);
+constexpr Duration kPromptTokenWork = std::chrono::microseconds(12);
+
 } // namespace
 
 void RequestAdmission::begin(AdmissionFacts facts, Instant now)
@@ -62,6 +67,14 @@
     return facts_ && facts_->isReturned ? arrival : arrival + target;
 }
 
+TeamShare RequestAdmission::share() const
+{
+    if (!facts_)
+        return {};
+    return { facts_->team,
+             facts_->outputTokens * kOutputTokenWork + facts_->promptTokens * kPromptTokenWork };
+}
+
 Duration RequestAdmission::retryAfter(Duration pause, std::size_t routerCount, Instant now)
 {
     const auto usual = std::max<Duration>(kRetryAfterUnready, pause);
--- a/src/gateway/admission/requestadmission.h
+++ b/src/gateway/admission/requestadmission.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_REQUESTADMISSION_H
 
 #include "admissionplan.h"
+#include "waitinglist.h"
 
 #include "logline.h"
 
@@ -38,6 +39,8 @@
         if waiting cannot help. \a arrival and \a target are those of the request.
     */
     std::optional<Instant> latestWait(Instant arrival, Duration target, Instant now);
+    //! Returns by which the request shares capacity with other teams; no team without a plan.
+    TeamShare share() const;
     //! Returns the time by which waiting requests of the same urgency are ordered.
     Instant latestStart(Instant arrival, Duration target) const;
     /*!
--- a/src/gateway/admission/waitinglist.cpp
+++ b/src/gateway/admission/waitinglist.cpp
@@ -1,18 +1,25 @@
 #include "waitinglist.h"
 
 #include <algorithm>
-#include <vector>
+#include <utility>
 
 namespace crocusport {
 
 WaitingList::Ticket WaitingList::add(const PoolName &pool, int priority, Instant latestStart,
-                                     TryStart tryStart, IsHeld isHeld)
+                                     TryStart tryStart, IsHeld isHeld, const TeamShare &share)
 {
     const auto ticket = ++lastTicket_;
-    const Key key { priority, latestStart, ticket };
     auto &list = pools_[pool];
-    list.waiting.emplace(key, Entry { std::move(tryStart), std::move(isHeld) });
-    list.keys.emplace(ticket, key);
+    auto entry = std::make_unique<Entry>();
+    entry->record.sequence = ticket;
+    entry->record.latestStart = latestStart;
+    entry->record.team = list.teams.indexOf(share.team);
+    entry->record.expected = share.work;
+    entry->priority = priority;
+    entry->tryStart = std::move(tryStart);
+    entry->isHeld = std::move(isHeld);
+    list.queues[priority].insert(entry->record);
+    list.entries.emplace(ticket, std::move(entry));
     return ticket;
 }
 
@@ -21,57 +28,85 @@
     const auto list = pools_.find(pool);
     if (list == pools_.end())
         return;
-    const auto key = list->second.keys.find(ticket);
-    if (key == list->second.keys.end())
+    const auto found = list->second.entries.find(ticket);
+    if (found == list->second.entries.end())
         return;
-    list->second.waiting.erase(key->second);
-    list->second.keys.erase(key);
+    auto &entry = *found->second;
+    if (!entry.isSkipped)
+        list->second.queues[entry.priority].erase(entry.record);
+    list->second.entries.erase(found);
 }
 
 void WaitingList::startAll()
 {
     std::vector<PoolName> names;
     for (const auto &[name, pool] : pools_) {
-        if (!pool.waiting.empty())
+        if (!pool.entries.empty())
             names.push_back(name);
     }
-    for (const auto &name : names)
-        startPool(name);
+    for (const auto &name : names) {
+        auto &pool = pools_[name];
+        for (auto &[priority, queue] : pool.queues) {
+            if (!startQueue(pool, queue))
+                break;
+        }
+    }
+}
+
+bool WaitingList::startQueue(Pool &pool, FairQueue &queue)
+{
+    std::vector<Ticket> skipped;
+    while (queue.size() > 0 && startNext(pool, queue, skipped)) {
+    }
+    const bool isBlocked = queue.size() > 0;
+    for (const auto ticket : skipped) {
+        const auto found = pool.entries.find(ticket);
+        if (found == pool.entries.end())
+            continue;
+        found->second->isSkipped = false;
+        queue.restore(found->second->record);
+    }
+    return !isBlocked;
 }
 
 // Starting a request may add others to the list or remove them.
-void WaitingList::startPool(const PoolName &name)
+bool WaitingList::startNext(Pool &pool, FairQueue &queue, std::vector<Ticket> &skipped)
 {
-    auto next = pools_[name].waiting.begin();
-    while (next != pools_[name].waiting.end()) {
-        const auto [key, entry] = *next;
-        if (!entry.isHeld || !entry.isHeld()) {
-            if (!entry.tryStart())
-                return;
-            remove(name, std::get<Ticket>(key));
-        }
-        next = pools_[name].waiting.upper_bound(key);
+    const auto ticket = queue.front(LaneFilter::Any)->sequence;
+    auto &entry = *pool.entries.at(ticket);
+    if (entry.isHeld && entry.isHeld()) {
+        entry.isSkipped = true;
+        queue.erase(entry.record);
+        skipped.push_back(ticket);
+        return true;
+    }
+    const auto tryStart = entry.tryStart;
+    if (!tryStart())
+        return false;
+    if (const auto found = pool.entries.find(ticket); found != pool.entries.end()) {
+        queue.start(found->second->record);
+        pool.entries.erase(found);
     }
+    return true;
 }
 
 std::size_t WaitingList::size(const PoolName &pool) const
 {
     const auto list = pools_.find(pool);
-    return list == pools_.end() ? 0 : list->second.waiting.size();
+    return list == pools_.end() ? 0 : list->second.entries.size();
 }
 
 std::size_t WaitingList::size() const
 {
     std::size_t sum = 0;
     for (const auto &[name, pool] : pools_)
-        sum += pool.waiting.size();
+        sum += pool.entries.size();
     return sum;
 }
 
 bool WaitingList::empty() const
 {
-    return std::all_of(pools_.begin(), pools_.end(),
-                       [](const auto &item) { return item.second.waiting.empty(); });
+    return size() == 0;
 }
 
 } // namespace crocusport
--- a/src/gateway/admission/waitinglist.h
+++ b/src/gateway/admission/waitinglist.h
@@ -1,24 +1,37 @@
 #ifndef CROCUSPORT_WAITINGLIST_H
 #define CROCUSPORT_WAITINGLIST_H
 
+#include "fairqueue.h"
+#include "nametable.h"
+
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <tuple>
+#include <memory>
 #include <unordered_map>
+#include <vector>
 
 namespace crocusport {
 
+//! By which a waiting request shares capacity with those of other teams.
+struct TeamShare
+{
+    TeamName team;    //!< Empty for requests that belong to no team.
+    Duration work {}; //!< Expected work, divided by the weight of the team.
+};
+
 /*!
     Requests that wait for free capacity on a backend server. Each pool has its own queue, ordered
-    by priority, then by the latest start that still meets the request's target.
+    by priority, then fairly among teams by their work, then by the latest start that still meets
+    the request's target.
 
     Load pattern: a burst of one class of requests arrives before urgent requests. The most urgent
     request starts next, and among equally urgent ones the request that would miss its target first.
-    The order of arrival decides only between equals.
+    The order of arrival decides only between equals. A team that sends much more than the others
+    delays its own requests, but not theirs.
 
     Thread safety: none; use from one thread.
 */
@@ -35,7 +48,7 @@
     using IsHeld = std::function<bool()>;
 
     Ticket add(const PoolName &pool, int priority, Instant latestStart, TryStart tryStart,
-               IsHeld isHeld = {});
+               IsHeld isHeld = {}, const TeamShare &share = {});
     //! Removes a request. Does nothing if the request is no longer in the list.
     void remove(const PoolName &pool, Ticket ticket);
     //! Starts requests of all pools in order, except held ones. The first other request of a pool
@@ -47,20 +60,25 @@
     bool empty() const;
 
 private:
-    using Key = std::tuple<int, Instant, Ticket>;
-
     struct Entry
     {
+        RequestRecord record; //!< Its sequence is the ticket.
+        int priority = 0;
         TryStart tryStart;
         IsHeld isHeld;
+        bool isSkipped = false; //!< Held, and out of its queue while others are started.
     };
     struct Pool
     {
-        std::map<Key, Entry> waiting;
-        std::unordered_map<Ticket, Key> keys;
+        std::unordered_map<Ticket, std::unique_ptr<Entry>> entries;
+        // Destroyed before the entries, which the queues link.
+        std::map<int, FairQueue> queues; //!< By priority.
+        NameTable<TeamName, TeamIndex> teams;
     };
 
-    void startPool(const PoolName &name);
+    //! Starts requests of one priority. Returns false if one could not start.
+    static bool startQueue(Pool &pool, FairQueue &queue);
+    static bool startNext(Pool &pool, FairQueue &queue, std::vector<Ticket> &skipped);
 
     std::unordered_map<PoolName, Pool> pools_;
     Ticket lastTicket_ = 0;
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -158,6 +158,8 @@
     facts.deadline = deadline_;
     facts.target = route_.target;
     facts.promptTokens = work_.promptTokens;
+    facts.outputTokens = work_.outputTokens;
+    facts.team = team_;
     facts.fingerprint = fingerprint_;
     facts.draw = admissionDraw(request_.id);
     admission_.begin(std::move(facts), monotonicNow());
@@ -334,7 +336,8 @@
         const auto self = weak.lock();
         return self && !self->isEnded_ && self->admission_.isHeld(monotonicNow());
     };
-    ticket_ = services_.waiting.add(pool_, urgency_, latestStart, tryStart, isHeld);
+    ticket_ =
+        services_.waiting.add(pool_, urgency_, latestStart, tryStart, isHeld, admission_.share());
     if (!waitTimer_.isActive())
         waitTimer_.startOnce(std::max(*latestWait - now, Duration::zero()));
 }
--- a/tests/gateway/admission/testwaitinglist.cpp
+++ b/tests/gateway/admission/testwaitinglist.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -93,3 +94,50 @@
     REQUIRE(started == std::vector<std::string> { "next", "held" });
     REQUIRE(list.empty());
 }
+
+// Guards against a team that sends several times its usual load and takes all capacity.
+SCENARIO("One team sends more requests than the others")
+{
+    const PoolName pool("assistant");
+    const Instant now(std::chrono::seconds(10));
+    const TeamName loud("loud");
+    const TeamName quiet("quiet");
+    WaitingList list;
+    std::vector<std::string> started;
+    int places = 4;
+    std::vector<WaitingList::Ticket> tickets;
+    const auto add = [&](const TeamName &team, Milliseconds latestStart, bool isHeld) {
+        tickets.push_back(list.add(
+            pool, 1, now + latestStart,
+            [&, team] {
+                if (places == 0)
+                    return false;
+                --places;
+                started.push_back(team.value());
+                return true;
+            },
+            [isHeld] { return isHeld; }, { team, Milliseconds(400) }));
+    };
+    for (int i = 0; i < 12; ++i)
+        add(loud, Milliseconds(100), i == 0);
+    for (int i = 0; i < 2; ++i)
+        add(quiet, Milliseconds(900), false);
+
+    THEN("the teams start in turn, although the requests of the loud one came first")
+    {
+        list.startAll();
+        REQUIRE(std::count(started.begin(), started.end(), "quiet") == 2);
+        REQUIRE(std::count(started.begin(), started.end(), "loud") == 2);
+        REQUIRE(list.size(pool) == 10);
+    }
+    // Guards against a held request that is lost, or linked after it was removed.
+    THEN("a request that was held can be removed afterwards")
+    {
+        list.startAll();
+        list.remove(pool, tickets[0]);
+        places = 20;
+        list.startAll();
+        REQUIRE(started.size() == 13);
+        REQUIRE(list.empty());
+    }
+}
