Admission: Limit what a starting router sends before it knows other loads

After a restart of all routers, each sees empty engines until the first load reports arrive, and a returning crowd is sent to them at once by all routers. Until another router has reported its load, and for at most one second, a router has no more requests at a pool's engines than its share of their slots. No request is held for longer than an eighth of its objective by this, and none is refused.

Not measured under load.

--- a/src/gateway/admission/admissionplan.cpp
+++ b/src/gateway/admission/admissionplan.cpp
@@ -27,6 +27,11 @@
 constexpr double kFloorLimit = 1.5;
 // A request is never held while fewer than this share of the slots are taken.
 constexpr double kNeverHeldShare = 0.5;
+// Routers that have started hear the first loads within 0.3 s, and within this time if datagrams
+// are lost or if there are no other routers.
+constexpr Duration kStartTime = std::chrono::seconds(1);
+// Waiting costs callers nothing up to an eighth of the objective.
+constexpr double kFreeWaitShare = 1.0 / 8;
 // Only prompts that take a typical engine longer than 50 ms are held because of prefill.
 constexpr std::uint32_t kHeavyPromptTokens = 4000;
 // Prompts that wait for prefill delay urgent requests too much if they take this share of the
@@ -44,7 +49,7 @@
 constexpr std::size_t kMaxRefusals = 4096;
 
 constexpr std::array<std::string_view, AdmissionPlan::kHoldReasonCount> kHoldReasonNames {
-    "none", "pressure", "prefill", "too_late"
+    "none", "pressure", "prefill", "start", "too_late"
 };
 
 Duration scale(Duration duration, double factor)
@@ -70,6 +75,14 @@
     return kHoldReasonNames.at(static_cast<std::size_t>(reason));
 }
 
+void AdmissionPlan::setFleet(std::size_t routerCount, bool hasReports, Instant now)
+{
+    if (!startedAt_)
+        startedAt_ = now;
+    routerCount_ = std::max<std::size_t>(routerCount, 1);
+    areLoadsUnknown_ = routerCount_ > 1 && !hasReports && now - *startedAt_ < kStartTime;
+}
+
 void AdmissionPlan::noteArrival(const AdmissionFacts &facts, Instant now)
 {
     pools_[facts.pool].kinds[facts.urgency] = { now, facts.target };
@@ -119,6 +132,15 @@
     return facts.isReturned ? band + kBandWidth : band + kBandWidth * (1 - facts.draw);
 }
 
+// The hold ends by itself, so that no request is refused while servers may have free slots.
+bool AdmissionPlan::exceedsStartShare(const AdmissionFacts &facts, Instant now)
+{
+    if (!areLoadsUnknown_ || now - facts.arrival >= scale(facts.target, kFreeWaitShare))
+        return false;
+    const auto &state = pressure(facts.pool, now);
+    return state.own >= std::max(1.0, state.slots / static_cast<double>(routerCount_));
+}
+
 bool AdmissionPlan::delaysUrgentByPrefill(const AdmissionFacts &facts, Instant now)
 {
     const auto position = this->position(facts, now);
@@ -136,6 +158,8 @@
 
 HoldReason AdmissionPlan::hold(const AdmissionFacts &facts, Instant now)
 {
+    if (exceedsStartShare(facts, now))
+        return HoldReason::Start;
     const auto share = pressure(facts.pool, now).share();
     if (share < kNeverHeldShare)
         return HoldReason::None;
@@ -151,6 +175,7 @@
     auto &pool = pools_[facts.pool];
     if (position.moreUrgent > 0 && pool.pressure.share() >= band)
         ++counts_.sentUnderPressure;
+    pool.pressure.own += 1;
     pool.pressure.requests += 1;
     pool.pressure.prefillTokens += facts.promptTokens;
 }
--- a/src/gateway/admission/admissionplan.h
+++ b/src/gateway/admission/admissionplan.h
@@ -21,7 +21,8 @@
 struct AdmissionFacts
 {
     PoolName pool;
-    int urgency = 0;     //!< 0 is the most urgent.
+    int urgency = 0; //!< 0 is the most urgent.
+    Instant arrival {};
     Instant deadline {}; //!< The caller gives up at this time.
     Duration target {};  //!< Latency objective; for streams, until the first event.
     std::uint32_t promptTokens = 0;
@@ -40,6 +41,7 @@
     None,
     Pressure, //!< The slots of the pool are needed for more urgent requests.
     Prefill,  //!< Prompts that wait for prefill delay more urgent requests.
+    Start,    //!< The loads of the other routers are not known yet.
     TooLate,  //!< No server would begin its response before the deadline.
 };
 
@@ -64,7 +66,7 @@
 class AdmissionPlan
 {
 public:
-    static constexpr std::size_t kHoldReasonCount = 4;
+    static constexpr std::size_t kHoldReasonCount = 5;
 
     //! Numbers since the start.
     struct Counts
@@ -76,6 +78,11 @@
 
     explicit AdmissionPlan(const ServerDirectory &directory) : directory_(directory) { }
 
+    /*!
+        Sets the number of routers, and whether any of them has reported its load. Before, and for
+        a limited time after the first call, each router sends at most its share of the slots.
+    */
+    void setFleet(std::size_t routerCount, bool hasReports, Instant now);
     //! Records the arrival of a request. Its kind counts as in use at its pool for some time.
     void noteArrival(const AdmissionFacts &facts, Instant now);
     //! Whether this router refused a request with this fingerprint within the last seconds.
@@ -129,12 +136,16 @@
     UrgencyPosition position(const AdmissionFacts &facts, Instant now) const;
     //! Returns the pressure up to which the request is sent.
     double limit(const AdmissionFacts &facts, Instant now) const;
+    bool exceedsStartShare(const AdmissionFacts &facts, Instant now);
     bool delaysUrgentByPrefill(const AdmissionFacts &facts, Instant now);
 
     const ServerDirectory &directory_;
     std::unordered_map<PoolName, Pool> pools_;
     std::unordered_map<Fingerprint, Instant> refusals_; //!< Times of the refusals.
     Counts counts_;
+    std::size_t routerCount_ = 1;
+    bool areLoadsUnknown_ = false;
+    std::optional<Instant> startedAt_; //!< Time of the first call of setFleet().
 };
 
 } // namespace crocusport
--- a/src/gateway/admission/poolpressure.cpp
+++ b/src/gateway/admission/poolpressure.cpp
@@ -33,6 +33,7 @@
         const auto load = server->load();
         ++pressure.servers;
         pressure.slots += server->entry.slots;
+        pressure.own += server->own.requests;
         pressure.requests += load.requests;
         pressure.prefillTokens += static_cast<double>(load.prefillTokens);
         // Little's law: the time of a run includes its wait in the queue of the server, and the
--- a/src/gateway/admission/poolpressure.h
+++ b/src/gateway/admission/poolpressure.h
@@ -19,6 +19,7 @@
 {
     std::uint32_t servers = 0; //!< Servers that take requests.
     double slots = 0;          //!< Of these servers.
+    double own = 0;            //!< Requests of this router at these servers.
     double requests = 0;       //!< Running and queued at these servers.
     double prefillTokens = 0;  //!< Not yet prefilled.
     double endsPerSecond = 0;  //!< Expected rate at which requests end.
--- a/src/gateway/admission/requestadmission.cpp
+++ b/src/gateway/admission/requestadmission.cpp
@@ -55,7 +55,7 @@
 std::optional<Instant> RequestAdmission::latestWait(Instant arrival, Duration target, Instant now)
 {
     const auto latest = arrival + std::chrono::duration_cast<Duration>(target * kWaitShare);
-    if (!facts_ || isSent_ || reason_ == HoldReason::None)
+    if (!facts_ || isSent_ || reason_ == HoldReason::None || reason_ == HoldReason::Start)
         return latest;
     if (reason_ == HoldReason::TooLate || now + plan_.expectedWait(*facts_, reason_, now) > latest)
         return std::nullopt;
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -155,6 +155,7 @@
     AdmissionFacts facts;
     facts.pool = pool_;
     facts.urgency = urgency_;
+    facts.arrival = exchange_->arrival();
     facts.deadline = deadline_;
     facts.target = route_.target;
     facts.promptTokens = work_.promptTokens;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -642,6 +642,9 @@
     if (now - startedAt_ >= kMaxStartWait && !stopRequestedAt_)
         callers_->resumeAccepting();
     exchange_->tick(now);
+    // Until the other routers are known, at least the seeds count.
+    admission_.setFleet(std::max(exchange_->routers().fleetSize(), settings_.seeds.size()),
+                        exchange_->loads().hasReports(now), now);
     updateRegistration();
     if (feed_->mirror().isComplete()) {
         const auto rank = exchange_->routers().rank(uptime());
--- a/src/gateway/loadexchange.cpp
+++ b/src/gateway/loadexchange.cpp
@@ -274,6 +274,15 @@
     }
 }
 
+bool PeerLoads::hasReports(Instant now) const
+{
+    const auto isCurrent = [now](const Loads &loads) { return loads.isCurrent(now); };
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [&](const auto &item) { return isCurrent(item.second.own); })
+        || std::any_of(zones_.begin(), zones_.end(),
+                       [&](const auto &item) { return isCurrent(item.second); });
+}
+
 Duration PeerLoads::meanAge(Instant now) const
 {
     Duration sum {};
--- a/src/gateway/loadexchange.h
+++ b/src/gateway/loadexchange.h
@@ -89,6 +89,8 @@
     void refresh(Instant now);
     //! Returns the sums of the loads that other routers of this zone have reported, by server.
     std::unordered_map<ServerHash, ServerLoad> zoneLoads(Instant now) const;
+    //! Whether another router or zone has reported its load and is not silent since.
+    bool hasReports(Instant now) const;
     //! Returns the mean age of the last reports of single routers; zero if there are none.
     Duration meanAge(Instant now) const;
 
--- a/tests/gateway/admission/testadmissionplan.cpp
+++ b/tests/gateway/admission/testadmissionplan.cpp
@@ -38,6 +38,7 @@
         AdmissionFacts facts;
         facts.pool = kPool;
         facts.urgency = urgency;
+        facts.arrival = now;
         facts.target = Milliseconds(urgency == 2 ? 1500 : 300);
         facts.deadline = now + std::chrono::seconds(15);
         facts.promptTokens = urgency == 2 ? 12'000 : 800;
@@ -190,3 +191,36 @@
     engines.fill(0.75);
     REQUIRE(admission.accepts(*server, 800, engines.now));
 }
+
+SCENARIO("All routers have restarted and a crowd of callers returns")
+{
+    Engines engines;
+    engines.fill(0);
+    engines.plan.setFleet(kRouters, false, engines.now);
+    const auto waiting = engines.facts(2, 0.5);
+    constexpr auto kShare = kServers * kSlots / kRouters;
+    for (std::size_t i = 0; i <= kShare; ++i) {
+        REQUIRE(engines.plan.hold(waiting, engines.now) == HoldReason::None);
+        engines.plan.noteSent(waiting, engines.now);
+    }
+
+    // Guards against 77 routers that each fill the engines, as the loads of the others look empty.
+    THEN("a router sends at most its share of the slots")
+    {
+        REQUIRE(engines.plan.hold(waiting, engines.now) == HoldReason::Start);
+        RequestAdmission admission(engines.plan);
+        admission.begin(waiting, engines.now);
+        REQUIRE(admission.isHeld(engines.now));
+        REQUIRE(admission.latestWait(engines.now, Milliseconds(1500), engines.now));
+    }
+    THEN("it sends more as soon as another router has reported its load")
+    {
+        engines.plan.setFleet(kRouters, true, engines.now);
+        REQUIRE(engines.plan.hold(waiting, engines.now) == HoldReason::None);
+    }
+    // Guards against refusals of requests while servers are free.
+    THEN("no request is held for more than an eighth of its objective")
+    {
+        REQUIRE(engines.plan.hold(waiting, engines.now + Milliseconds(200)) == HoldReason::None);
+    }
+}
