--- a/tests/gateway/admission/testwaitinglist.cpp
+++ b/tests/gateway/admission/testwaitinglist.cpp
@@ -1,8 +1,10 @@
 #include "waitinglist.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -141,3 +143,56 @@
         REQUIRE(list.empty());
     }
 }
+
+// Guards against requests that are lost, started twice or linked after their removal when requests
+// are removed or added while others start.
+SCENARIO("Waiting requests under arbitrary changes")
+{
+    rc::prop("each request is started or removed once, or still waits", [] {
+        const PoolName pool("assistant");
+        WaitingList list;
+        std::map<int, WaitingList::Ticket> waiting;
+        std::map<int, int> ends;
+        int places = 0;
+        int count = 0;
+        const auto remove = [&](std::size_t index) {
+            if (waiting.empty())
+                return;
+            const auto victim = std::next(waiting.begin(), index % waiting.size());
+            list.remove(pool, victim->second);
+            ++ends[victim->first];
+            waiting.erase(victim);
+        };
+        const auto actions =
+            *rc::gen::container<std::vector<unsigned>>(rc::gen::arbitrary<unsigned>());
+        for (const auto action : actions) {
+            places = static_cast<int>(action % 5);
+            if (action % 3 == 0) {
+                list.startAll();
+            } else if (action % 7 == 0) {
+                remove(action);
+            } else {
+                const int id = ++count;
+                waiting[id] = list.add(
+                    pool, static_cast<int>(action % 2), Instant(Duration(action % 11)),
+                    [&, id, action] {
+                        // The end of one request may remove another one.
+                        if (places == 0)
+                            return false;
+                        --places;
+                        ++ends[id];
+                        waiting.erase(id);
+                        if (action % 4 == 0)
+                            remove(action);
+                        return true;
+                    },
+                    [action] { return action % 6 == 1; },
+                    { TeamName(std::to_string(action % 3)), Duration(action % 100) });
+            }
+        }
+        RC_ASSERT(list.size() == waiting.size());
+        RC_ASSERT(ends.size() + waiting.size() == static_cast<std::size_t>(count));
+        RC_ASSERT(
+            std::all_of(ends.begin(), ends.end(), [](const auto &end) { return end.second == 1; }));
+    });
+}
