Admission: Spread Retry-After also for requests that found all servers full

A request that waited for a server with room until half of its objective had passed was told to come back after 0.5 s, whatever the load, so callers of urgent requests returned together into the same crest. If the pool has at least as many requests as slots, Retry-After is now the expected wait with a turn, as for held requests.

Not measured under load.

--- a/src/gateway/admission/admissionplan.h
+++ b/src/gateway/admission/admissionplan.h
@@ -96,10 +96,16 @@
     bool isInTime(const Estimate &estimate, const KnownServer &server, const AdmissionFacts &facts,
                   std::uint32_t unreadTokens, Instant now)
     {
-        return pressure(facts.pool, now).share() < 1
+        return !isFull(facts.pool, now)
             || now + estimate.firstEvent(server, unreadTokens, position(facts, now))
             <= facts.deadline;
     }
+    //! Whether the pool has at least as many requests as slots.
+    bool isFull(const PoolName &pool, Instant now)
+    {
+        const auto &state = pressure(pool, now);
+        return state.slots > 0 && state.share() >= 1;
+    }
     //! Records that the request was sent to a server.
     void noteSent(const AdmissionFacts &facts, Instant now);
 
--- a/src/gateway/admission/requestadmission.cpp
+++ b/src/gateway/admission/requestadmission.cpp
@@ -78,7 +78,7 @@
 Duration RequestAdmission::retryAfter(Duration pause, std::size_t routerCount, Instant now)
 {
     const auto usual = std::max<Duration>(kRetryAfterUnready, pause);
-    if (!facts_ || reason_ == HoldReason::None)
+    if (!facts_ || (reason_ == HoldReason::None && !plan_.isFull(facts_->pool, now)))
         return usual;
     const auto planned = plan_.refuse(*facts_, reason_, routerCount, now);
     return std::max(planned, pause);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -568,8 +568,9 @@
     const auto &counts = admission_.counts();
     metrics_.setGauge("crocusport_waiting_requests", "Requests that wait for a backend server.",
                       static_cast<double>(waiting_.size()));
-    for (std::size_t i = 1; i < counts.refused.size(); ++i) {
-        const std::string reason(holdReasonName(static_cast<HoldReason>(i)));
+    for (std::size_t i = 0; i < counts.refused.size(); ++i) {
+        const auto name = holdReasonName(static_cast<HoldReason>(i));
+        const std::string reason(i == 0 ? "full" : name);
         metrics_.setGauge("crocusport_refused_" + reason,
                           "Requests refused for the reason " + reason + " since the start.",
                           static_cast<double>(counts.refused.at(i)));
--- a/tests/gateway/admission/testadmissionplan.cpp
+++ b/tests/gateway/admission/testadmissionplan.cpp
@@ -156,6 +156,19 @@
         REQUIRE(std::is_sorted(times.begin(), times.begin() + 8));
         REQUIRE(times[7] - times[0] > std::chrono::seconds(1));
     }
+    // Guards against urgent callers that all come back after the same half second.
+    THEN("a request that is refused because the servers are full is spread as well")
+    {
+        std::vector<Duration> times;
+        for (int i = 0; i < 4; ++i) {
+            RequestAdmission urgent(engines.plan);
+            urgent.begin(engines.facts(0, i / 4.0), engines.now);
+            REQUIRE_FALSE(urgent.isHeld(engines.now));
+            times.push_back(urgent.retryAfter(Duration::zero(), kRouters, engines.now));
+        }
+        REQUIRE(std::is_sorted(times.begin(), times.end()));
+        REQUIRE(times.back() > times.front());
+    }
     // Guards against a caller that is refused twice while new requests are sent.
     THEN("a request that came back is sent before new ones of its kind")
     {
@@ -198,7 +211,7 @@
     engines.fill(0);
     engines.plan.setFleet(kRouters, false, engines.now);
     const auto waiting = engines.facts(2, 0.5);
-    constexpr auto kShare = kServers * kSlots / kRouters;
+    constexpr std::size_t kShare = std::size_t(kServers) * kSlots / kRouters;
     for (std::size_t i = 0; i <= kShare; ++i) {
         REQUIRE(engines.plan.hold(waiting, engines.now) == HoldReason::None);
         engines.plan.noteSent(waiting, engines.now);
