Admission: Hold the requests of a team first that sends more than its share

When room is short, all teams of a kind were held alike, so a team that sent six times its usual load got six shares. Each router now measures the work that each team has sent within about 5 s, and lowers the limits of a team with over 1.5 equal shares within the band of its kind. A tenth of its requests stay exempt.

Not measured under load.

--- a/src/gateway/admission/admissionplan.cpp
+++ b/src/gateway/admission/admissionplan.cpp
@@ -83,10 +83,14 @@
     areLoadsUnknown_ = routerCount_ > 1 && !hasReports && now - *startedAt_ < kStartTime;
 }
 
-void AdmissionPlan::noteArrival(const AdmissionFacts &facts, Instant now)
+double AdmissionPlan::noteArrival(const AdmissionFacts &facts, Instant now, Duration work)
 {
-    pools_[facts.pool].kinds[facts.urgency] = { now, facts.target };
+    auto &kind = pools_[facts.pool].kinds[facts.urgency];
+    kind.seenAt = now;
+    kind.target = facts.target;
+    kind.teams.note(facts.team, work, now);
     counts_.returned += facts.isReturned ? 1 : 0;
+    return kind.teams.factor(facts.team, now);
 }
 
 bool AdmissionPlan::isReturned(Fingerprint fingerprint, Instant now) const
@@ -129,7 +133,8 @@
     if (facts.draw < kFloorShare)
         return kFloorLimit;
     const double band = position.lessUrgent == 0 ? kLowestBand : kMiddleBand;
-    return facts.isReturned ? band + kBandWidth : band + kBandWidth * (1 - facts.draw);
+    const double place = facts.isReturned ? 1 : 1 - facts.draw;
+    return band + kBandWidth * place * facts.teamFactor;
 }
 
 // The hold ends by itself, so that no request is refused while servers may have free slots.
@@ -213,10 +218,13 @@
 void AdmissionPlan::expire(Instant now)
 {
     std::erase_if(refusals_, [&](const auto &item) { return now - item.second > kReturnTime; });
-    for (auto &[name, pool] : pools_)
+    for (auto &[name, pool] : pools_) {
+        for (auto &[urgency, kind] : pool.kinds)
+            kind.teams.expire(now);
         std::erase_if(pool.kinds, [&](const auto &item) {
             return now - item.second.seenAt > kKindRetentionTime;
         });
+    }
     std::erase_if(pools_, [&](const auto &item) { return item.second.kinds.empty(); });
 }
 
--- a/src/gateway/admission/admissionplan.h
+++ b/src/gateway/admission/admissionplan.h
@@ -2,6 +2,7 @@
 #define CROCUSPORT_ADMISSIONPLAN_H
 
 #include "poolpressure.h"
+#include "teamshares.h"
 
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
@@ -30,6 +31,7 @@
     TeamName team;
     Fingerprint fingerprint; //!< The same when the caller sends the request again.
     double draw = 0;         //!< Evenly distributed over requests, from 0 to below 1.
+    double teamFactor = 1;   //!< See TeamShares::factor(); 1 if the team sends no more than others.
     bool isReturned = false; //!< This router refused the same request shortly before.
 };
 
@@ -83,8 +85,9 @@
         a limited time after the first call, each router sends at most its share of the slots.
     */
     void setFleet(std::size_t routerCount, bool hasReports, Instant now);
-    //! Records the arrival of a request. Its kind counts as in use at its pool for some time.
-    void noteArrival(const AdmissionFacts &facts, Instant now);
+    //! Records the arrival of a request with this work. Its kind counts as in use at its pool for
+    //! some time. Returns the factor of its team.
+    double noteArrival(const AdmissionFacts &facts, Instant now, Duration work = {});
     //! Whether this router refused a request with this fingerprint within the last seconds.
     bool isReturned(Fingerprint fingerprint, Instant now) const;
 
@@ -129,6 +132,7 @@
     {
         Instant seenAt {};
         Duration target {}; //!< Of its last request.
+        TeamShares teams;
     };
     struct Pool
     {
--- a/src/gateway/admission/requestadmission.cpp
+++ b/src/gateway/admission/requestadmission.cpp
@@ -23,7 +23,7 @@
 {
     facts_ = std::move(facts);
     facts_->isReturned = plan_.isReturned(facts_->fingerprint, now);
-    plan_.noteArrival(*facts_, now);
+    facts_->teamFactor = plan_.noteArrival(*facts_, now, share().work);
 }
 
 bool RequestAdmission::isHeld(Instant now)
--- a/tests/gateway/admission/testadmissionplan.cpp
+++ b/tests/gateway/admission/testadmissionplan.cpp
@@ -237,3 +237,45 @@
         REQUIRE(engines.plan.hold(waiting, engines.now + Milliseconds(200)) == HoldReason::None);
     }
 }
+
+// Guards against a team that sends several times its usual load, so that the requests of all teams
+// are held alike.
+SCENARIO("One of several teams sends six times its usual load")
+{
+    TeamShares shares;
+    Instant now(std::chrono::seconds(100));
+    const auto send = [&](int loudRequests) {
+        for (int round = 0; round < 30; ++round) {
+            now += Milliseconds(100);
+            for (int team = 0; team < 5; ++team) {
+                for (int i = 0; i < (team == 0 ? loudRequests : 1); ++i)
+                    shares.note(TeamName(std::to_string(team)), Milliseconds(500), now);
+            }
+        }
+    };
+    send(1);
+    REQUIRE(shares.factor(TeamName("0"), now) == 1);
+    send(6);
+    REQUIRE(shares.factor(TeamName("0"), now) < 0.7);
+    REQUIRE(shares.factor(TeamName("0"), now) >= TeamShares::kMinFactor);
+    REQUIRE(shares.factor(TeamName("1"), now) == 1);
+
+    THEN("its requests are held first, and those of the floor are not")
+    {
+        Engines engines;
+        engines.fill(0.9375);
+        auto facts = engines.facts(2, 0.7);
+        REQUIRE(engines.plan.hold(facts, engines.now) == HoldReason::None);
+        facts.teamFactor = TeamShares::kMinFactor;
+        REQUIRE(engines.plan.hold(facts, engines.now) == HoldReason::Pressure);
+        facts.draw = 0.05;
+        REQUIRE(engines.plan.hold(facts, engines.now) == HoldReason::None);
+    }
+    THEN("the team is like the others again after some seconds without requests")
+    {
+        now += std::chrono::seconds(30);
+        shares.expire(now);
+        send(1);
+        REQUIRE(shares.factor(TeamName("0"), now) == 1);
+    }
+}
