Admission: Send a fifth of each kind at once, and hold none for its prefill

Held requests that are sent later are late more often than requests that are sent at once, so a floor of a fifth is better than one of a tenth.

test_gateway: all 42 test cases pass.

--- a/src/gateway/admission/admissionplan.cpp
+++ b/src/gateway/admission/admissionplan.cpp
@@ -23,7 +23,7 @@
 constexpr double kMiddleBand = 1.04;
 constexpr double kBandWidth = 0.12;
 // Share of each kind that is sent up to kFloorLimit, so that no kind, team or session is excluded.
-constexpr double kFloorShare = 0.1;
+constexpr double kFloorShare = 0.2;
 constexpr double kFloorLimit = 1.5;
 // A request is never held while fewer than this share of the slots are taken.
 constexpr double kNeverHeldShare = 0.5;
@@ -32,12 +32,6 @@
 constexpr Duration kStartTime = std::chrono::seconds(1);
 // Waiting costs callers nothing up to an eighth of the objective.
 constexpr double kFreeWaitShare = 1.0 / 8;
-// Only prompts that take a typical engine longer than 50 ms are held because of prefill.
-constexpr std::uint32_t kHeavyPromptTokens = 4000;
-// Prompts that wait for prefill delay urgent requests too much if they take this share of the
-// objective of the most urgent kind; the band is spread over the requests.
-constexpr double kPrefillShare = 0.5;
-constexpr double kPrefillBandWidth = 0.3;
 // Callers honour Retry-After up to a third of the time that they have left.
 constexpr double kRetryShare = 1.0 / 3;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(500);
@@ -49,7 +43,7 @@
 constexpr std::size_t kMaxRefusals = 4096;
 
 constexpr std::array<std::string_view, AdmissionPlan::kHoldReasonCount> kHoldReasonNames {
-    "none", "pressure", "prefill", "start", "too_late"
+    "none", "pressure", "start", "too_late"
 };
 
 Duration scale(Duration duration, double factor)
@@ -146,21 +140,6 @@
     return state.own >= std::max(1.0, state.slots / static_cast<double>(routerCount_));
 }
 
-bool AdmissionPlan::delaysUrgentByPrefill(const AdmissionFacts &facts, Instant now)
-{
-    const auto position = this->position(facts, now);
-    if (position.moreUrgent == 0 || position.lessUrgent > 0 || facts.draw < kFloorShare
-        || facts.promptTokens < kHeavyPromptTokens)
-        return false;
-    for (const auto &[urgency, kind] : pools_[facts.pool].kinds) {
-        if (now - kind.seenAt > kKindRetentionTime)
-            continue;
-        const double share = kPrefillShare + kPrefillBandWidth * (1 - facts.draw);
-        return pressure(facts.pool, now).prefillDelay() > scale(kind.target, share);
-    }
-    return false;
-}
-
 HoldReason AdmissionPlan::hold(const AdmissionFacts &facts, Instant now)
 {
     if (exceedsStartShare(facts, now))
@@ -170,7 +149,7 @@
         return HoldReason::None;
     if (share >= limit(facts, now))
         return HoldReason::Pressure;
-    return delaysUrgentByPrefill(facts, now) ? HoldReason::Prefill : HoldReason::None;
+    return HoldReason::None;
 }
 
 void AdmissionPlan::noteSent(const AdmissionFacts &facts, Instant now)
@@ -182,14 +161,11 @@
         ++counts_.sentUnderPressure;
     pool.pressure.own += 1;
     pool.pressure.requests += 1;
-    pool.pressure.prefillTokens += facts.promptTokens;
 }
 
-Duration AdmissionPlan::expectedWait(const AdmissionFacts &facts, HoldReason reason, Instant now)
+Duration AdmissionPlan::expectedWait(const AdmissionFacts &facts, Instant now)
 {
     const auto &state = pressure(facts.pool, now);
-    if (reason == HoldReason::Prefill)
-        return state.prefillDelay();
     const double excess = state.requests - std::min(limit(facts, now), kFloorLimit) * state.slots;
     return seconds(std::max(excess, 0.0) / std::max(state.endsPerSecond, kMinEndsPerSecond));
 }
@@ -201,7 +177,7 @@
     if (refusals_.size() < kMaxRefusals)
         refusals_[facts.fingerprint] = now;
     const auto longest = scale(std::max(facts.deadline - now, Duration::zero()), kRetryShare);
-    const auto wait = std::max<Duration>(expectedWait(facts, reason, now), kMinRetryAfter);
+    const auto wait = std::max<Duration>(expectedWait(facts, now), kMinRetryAfter);
     const auto &state = pressure(facts.pool, now);
     const auto spacing = seconds(static_cast<double>(std::max<std::size_t>(routerCount, 1))
                                  / std::max(state.endsPerSecond, kMinEndsPerSecond));
--- a/src/gateway/admission/admissionplan.h
+++ b/src/gateway/admission/admissionplan.h
@@ -42,7 +42,6 @@
 enum class HoldReason : std::uint8_t {
     None,
     Pressure, //!< The slots of the pool are needed for more urgent requests.
-    Prefill,  //!< Prompts that wait for prefill delay more urgent requests.
     Start,    //!< The loads of the other routers are not known yet.
     TooLate,  //!< No server would begin its response before the deadline.
 };
@@ -68,7 +67,7 @@
 class AdmissionPlan
 {
 public:
-    static constexpr std::size_t kHoldReasonCount = 5;
+    static constexpr std::size_t kHoldReasonCount = 4;
 
     //! Numbers since the start.
     struct Counts
@@ -112,8 +111,8 @@
     //! Records that the request was sent to a server.
     void noteSent(const AdmissionFacts &facts, Instant now);
 
-    //! Returns how long a request that is held for \a reason will have to wait at least.
-    Duration expectedWait(const AdmissionFacts &facts, HoldReason reason, Instant now);
+    //! Returns how long a request that is held will have to wait at least.
+    Duration expectedWait(const AdmissionFacts &facts, Instant now);
     /*!
         Returns the Retry-After of a request that is refused now, and records the refusal. It is the
         expected wait, but later than that of the request refused before, by the time in which
@@ -147,7 +146,6 @@
     //! Returns the pressure up to which the request is sent.
     double limit(const AdmissionFacts &facts, Instant now) const;
     bool exceedsStartShare(const AdmissionFacts &facts, Instant now);
-    bool delaysUrgentByPrefill(const AdmissionFacts &facts, Instant now);
 
     const ServerDirectory &directory_;
     std::unordered_map<PoolName, Pool> pools_;
--- a/src/gateway/admission/poolpressure.cpp
+++ b/src/gateway/admission/poolpressure.cpp
@@ -18,11 +18,6 @@
 
 } // namespace
 
-Duration PoolPressure::prefillDelay() const
-{
-    return servers == 0 ? Duration::zero() : fromMs(prefillTokens / kPrefillTokensPerMs / servers);
-}
-
 PoolPressure measurePressure(const std::vector<ServerDirectory::ServerPointer> &servers,
                              Instant now)
 {
@@ -35,7 +30,6 @@
         pressure.slots += server->entry.slots;
         pressure.own += server->own.requests;
         pressure.requests += load.requests;
-        pressure.prefillTokens += static_cast<double>(load.prefillTokens);
         // Little's law: the time of a run includes its wait in the queue of the server, and the
         // number of requests the queued ones.
         pressure.endsPerSecond +=
--- a/src/gateway/admission/poolpressure.h
+++ b/src/gateway/admission/poolpressure.h
@@ -21,13 +21,10 @@
     double slots = 0;          //!< Of these servers.
     double own = 0;            //!< Requests of this router at these servers.
     double requests = 0;       //!< Running and queued at these servers.
-    double prefillTokens = 0;  //!< Not yet prefilled.
     double endsPerSecond = 0;  //!< Expected rate at which requests end.
 
     //! Requests for each slot; 0 if there are no servers.
     double share() const { return slots > 0 ? requests / slots : 0; }
-    //! Mean time that a server needs for the prefill of its prompts.
-    Duration prefillDelay() const;
 };
 
 //! Returns the pressure on \a servers, the servers of one pool. Safe from any thread that may read
--- a/src/gateway/admission/requestadmission.cpp
+++ b/src/gateway/admission/requestadmission.cpp
@@ -57,7 +57,7 @@
     const auto latest = arrival + std::chrono::duration_cast<Duration>(target * kWaitShare);
     if (!facts_ || isSent_ || reason_ == HoldReason::None || reason_ == HoldReason::Start)
         return latest;
-    if (reason_ == HoldReason::TooLate || now + plan_.expectedWait(*facts_, reason_, now) > latest)
+    if (reason_ == HoldReason::TooLate || now + plan_.expectedWait(*facts_, now) > latest)
         return std::nullopt;
     return latest;
 }
