--- a/tests/gateway/admission/testwaitinglist.cpp
+++ b/tests/gateway/admission/testwaitinglist.cpp
@@ -158,7 +158,8 @@
         const auto remove = [&](std::size_t index) {
             if (waiting.empty())
                 return;
-            const auto victim = std::next(waiting.begin(), index % waiting.size());
+            const auto victim =
+                std::next(waiting.begin(), static_cast<std::ptrdiff_t>(index % waiting.size()));
             list.remove(pool, victim->second);
             ++ends[victim->first];
             waiting.erase(victim);
