--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -59,6 +59,8 @@
     Milliseconds storePollInterval {};
     Milliseconds stabilityWindow {}; //!< Time after an outage of the store without bounds.
     Milliseconds serverHeartbeat {}; //!< Time after which a server writes its entry again.
+    std::size_t hostMemoryMb = 0;    //!< Memory of the host; 0: unknown.
+    std::size_t descriptors = 0;     //!< File descriptors of the process; 0: unknown.
     std::size_t answerMemoryMb = 24; //!< For responses that cannot be forwarded yet.
     Milliseconds reportInterval {};  //!< Minimum time between two load reports.
     DutySettings duties;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -14,6 +14,8 @@
 constexpr double kMinuteMs = 60'000;
 constexpr double kHourS = 3600;
 constexpr double kMaxSeeds = 100;
+constexpr double kMaxMemoryMb = 1'048'576;
+constexpr double kMaxDescriptors = 1'048'576;
 constexpr double kMaxAnswersMb = 65'536;
 constexpr double kMaxRetrySlack = 1'000'000;
 constexpr double kMaxDutyCalls = 100'000;
@@ -114,6 +116,14 @@
         integerEntry<GatewaySettings>("shutdown.grace_s", "s", "10", 1, kHourS,
                                       "Time from SIGTERM until the process is ended by force.",
                                       kStore<&GatewaySettings::shutdownGrace>),
+        integerEntry<GatewaySettings>("memory.host_mb", "MB", "0", 0, kMaxMemoryMb,
+                                      "Memory of the host, which bounds what is held for clients; "
+                                      "0: unknown, then as 120.",
+                                      kStore<&GatewaySettings::hostMemoryMb>),
+        integerEntry<GatewaySettings>("limits.descriptors", "", "0", 0, kMaxDescriptors,
+                                      "File descriptors of the process, which bound the callers' "
+                                      "connections; 0: unknown, then as 3,075.",
+                                      kStore<&GatewaySettings::descriptors>),
         integerEntry<GatewaySettings>(
             "memory.answers_mb", "MB", "24", 1, kMaxAnswersMb,
             "Memory for answers that cannot be passed on yet, beyond 16 kB for each.",
