Transport, gateway: Limit what callers hold

A crowd that sent most of a body and stayed connected took a gateway from 8 to 50 MB with 40 clients (248 MB with 60 larger ones); hosts have 120 MB.

ClientMemory is a budget for one process: connections reserve memory for heads and bodies before they read, pause reading while there is none, and stalled ones are closed when others need their memory. Callers' connections are limited by limits.descriptors; at the limit an idle or stalled connection gives way. The readiness, metrics and query ports take no bodies and few connections.

--- a/include/crocusport/transport/httpserver.h
+++ b/include/crocusport/transport/httpserver.h
@@ -12,6 +12,7 @@
 
 namespace crocusport {
 
+class ClientMemory;
 class EventLoop;
 
 //! Limits on the resources that callers may use.
@@ -25,6 +26,16 @@
     //! is shorter than headTimeout. Does not limit the request's handler.
     Duration idleTimeout = std::chrono::seconds(60);
     Duration headTimeout = std::chrono::seconds(60); //!< From first to last byte of a request head.
+    std::size_t maxFields = 0; //!< Fields of a request head; 0: only its size is limited.
+    //! Whether the connection that has been idle or without progress for longest is closed for a
+    //! new one at maxConnections, instead of leaving new ones to the kernel's queue.
+    bool replacesIdle = false;
+    //! Time without progress after which a connection with an incomplete request may be replaced.
+    Duration stallTime = std::chrono::seconds(1);
+
+    //! Limits for ports whose clients send only small requests without a body: readiness, metrics,
+    //! queries of routers. At \a maxConnections the longest idle one gives way.
+    static HttpServerLimits withoutBodies(std::size_t maxConnections);
 };
 
 /*!
@@ -44,10 +55,16 @@
         Listens on \a address ("ip:port"; port 0 picks a free port). Calls \a handler for each
         complete request. Responds with 400, 408, 413 or 431, without calling \a handler, when the
         input is malformed or a limit is exceeded. Fails with ListenFailed.
+
+        With \a memory, which must outlive the server, connections reserve memory before they read:
+        reading pauses while there is none, a request that waits too long for it gets 503, stalled
+        connections are closed if others need their memory, and a body that arrives at less than
+        1 KiB/s after the idle timeout gets 408.
     */
     static Result<std::unique_ptr<HttpServer>> create(EventLoop &loop, const SocketAddress &address,
                                                       const HttpServerLimits &limits,
-                                                      Handler handler);
+                                                      Handler handler,
+                                                      ClientMemory *memory = nullptr);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,8 +61,18 @@
 constexpr Duration kMaxTrialDelay = std::chrono::seconds(10);
 // Maximum number of refused parts of which routers remind each other per housekeeping interval.
 constexpr std::size_t kMaxReminders = 4;
-// Limits callers' connections, so that file descriptors remain for other connections.
-constexpr std::size_t kMaxCallers = 2500;
+// Descriptors of the smallest host of the deployments; used if their number is unknown.
+constexpr std::size_t kDefaultDescriptors = 3075;
+// Share of the descriptors for callers. The rest is for servers, the store, routers and readiness.
+constexpr double kCallerShare = 0.8;
+// The readiness and the metrics port get at most one of this many descriptors each.
+constexpr std::size_t kReadinessPart = 16;
+constexpr std::size_t kMetricsPart = 32;
+constexpr std::size_t kMaxReadinessConnections = 64;
+constexpr std::size_t kMaxMetricsConnections = 16;
+// A head of 16,384 bytes could have thousands of fields, each of which costs about 100 bytes more
+// than its text. Usual callers and proxies send fewer than 50.
+constexpr std::size_t kMaxFields = 256;
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -73,6 +83,11 @@
     return std::chrono::duration_cast<Milliseconds>(duration).count();
 }
 
+std::size_t descriptors(const GatewaySettings &settings)
+{
+    return settings.descriptors == 0 ? kDefaultDescriptors : settings.descriptors;
+}
+
 HttpClient::Options backendOptions()
 {
     HttpClient::Options options;
@@ -98,7 +113,11 @@
       random_(std::random_device {}()), backends_(loop, backendOptions()),
       storeClient_(loop, backendOptions()), routerClient_(loop, backendOptions()),
       selector_(directory_, prefixes_, settings_.zone, random_()),
-      answerMemory_(settings_.answerMemoryMb * kBytesPerMb), tickTimer_(loop, [this] { tick(); }),
+      answerMemory_(ClientMemory::answerBytesFor(settings_.hostMemoryMb * kBytesPerMb,
+                                                 settings_.answerMemoryMb * kBytesPerMb)),
+      clientMemory_(ClientMemory::limitsFor(settings_.hostMemoryMb * kBytesPerMb,
+                                            settings_.answerMemoryMb * kBytesPerMb)),
+      tickTimer_(loop, [this] { tick(); }),
       waitingTimer_(loop,
                     [this] {
                         waiting_.startAll();
@@ -154,27 +173,35 @@
 Result<void> Gateway::listen()
 {
     HttpServerLimits limits;
-    limits.maxConnections = kMaxCallers;
+    limits.maxConnections = maxCallers();
+    limits.maxFields = kMaxFields;
+    limits.replacesIdle = true;
     BOOST_LEAF_ASSIGN(callers_,
-                      HttpServer::create(loop_, settings_.callers, limits,
-                                         [this](std::shared_ptr<HttpExchange> exchange) {
-                                             ForwardedRequest::start(services_,
-                                                                     std::move(exchange));
-                                         }));
+                      HttpServer::create(
+                          loop_, settings_.callers, limits,
+                          [this](std::shared_ptr<HttpExchange> exchange) {
+                              ForwardedRequest::start(services_, std::move(exchange));
+                          },
+                          &clientMemory_));
     // Callers that connect while the router starts wait in the backlog for the first configuration.
     callers_->pauseAccepting();
-    BOOST_LEAF_ASSIGN(ready_,
-                      HttpServer::create(loop_, settings_.ready, {},
-                                         [this](const std::shared_ptr<HttpExchange> &exchange) {
-                                             answerReady(*exchange);
-                                         }));
+    BOOST_LEAF_ASSIGN(
+        ready_,
+        HttpServer::create(
+            loop_, settings_.ready,
+            HttpServerLimits::withoutBodies(
+                std::min(descriptors(settings_) / kReadinessPart, kMaxReadinessConnections)),
+            [this](const std::shared_ptr<HttpExchange> &exchange) { answerReady(*exchange); }));
     if (settings_.metricsPort != 0) {
         const SocketAddress address(settings_.ip + ':' + std::to_string(settings_.metricsPort));
-        BOOST_LEAF_ASSIGN(metricsServer_,
-                          HttpServer::create(loop_, address, {},
-                                             [this](const std::shared_ptr<HttpExchange> &exchange) {
-                                                 answerMetrics(*exchange);
-                                             }));
+        BOOST_LEAF_ASSIGN(
+            metricsServer_,
+            HttpServer::create(loop_, address,
+                               HttpServerLimits::withoutBodies(std::min(
+                                   descriptors(settings_) / kMetricsPart, kMaxMetricsConnections)),
+                               [this](const std::shared_ptr<HttpExchange> &exchange) {
+                                   answerMetrics(*exchange);
+                               }));
     }
     crashRecords_ = std::make_unique<CrashRecords<CrashLedger>>(
         storeClient_, formats_, settings_.store, crashes_, kCrashRecordPrefix);
@@ -314,10 +341,58 @@
     if (!limits)
         return;
     auto applied = *limits;
-    applied.maxConnections = kMaxCallers;
+    applied.maxConnections = maxCallers();
+    applied.maxFields = kMaxFields;
+    applied.replacesIdle = true;
     callers_->setLimits(applied);
 }
 
+std::size_t Gateway::maxCallers() const
+{
+    // Their fixed costs must leave memory for requests.
+    constexpr double kMemoryShare = 0.625;
+    const auto byMemory = static_cast<double>(clientMemory_.limits().totalBytes) * kMemoryShare
+        / static_cast<double>(ClientMemory::kConnectionBytes);
+    const auto byDescriptors = static_cast<double>(descriptors(settings_)) * kCallerShare;
+    return static_cast<std::size_t>(std::min(byMemory, byDescriptors));
+}
+
+void Gateway::logClientLosses()
+{
+    std::uint64_t all = 0;
+    LogLine line("clients_turned_away");
+    for (std::size_t i = 0; i < kClientLossNames.size(); ++i) {
+        const auto count = clientMemory_.losses(static_cast<ClientLoss>(i));
+        all += count;
+        line.add(kClientLossNames[i], count);
+    }
+    if (all == std::exchange(loggedLosses_, all))
+        return;
+    log_.write(line.add("held_bytes", clientMemory_.heldBytes())
+                   .add("waiting", clientMemory_.waitingCount())
+                   .add("connections", callers_->connectionCount())
+                   .text());
+}
+
+void Gateway::setClientGauges()
+{
+    for (std::size_t i = 0; i < kClientChargeNames.size(); ++i) {
+        metrics_.setGauge(
+            "crocusport_client_" + std::string(kClientChargeNames[i]) + "_bytes",
+            "Memory that is reserved for callers, by kind.",
+            static_cast<double>(clientMemory_.heldBytes(static_cast<ClientCharge>(i))));
+    }
+    for (std::size_t i = 0; i < kClientLossNames.size(); ++i) {
+        metrics_.setGauge("crocusport_clients_" + std::string(kClientLossNames[i]),
+                          "Callers that were refused or closed since the start, by reason.",
+                          static_cast<double>(clientMemory_.losses(static_cast<ClientLoss>(i))));
+    }
+    metrics_.setGauge("crocusport_clients_waiting", "Requests that wait for memory.",
+                      static_cast<double>(clientMemory_.waitingCount()));
+    metrics_.setGauge("crocusport_caller_connections", "Open connections of callers.",
+                      static_cast<double>(callers_->connectionCount()));
+}
+
 void Gateway::updateServer(const ServerEntry &entry)
 {
     const auto known = directory_.find(entry.name);
@@ -611,6 +686,7 @@
                       static_cast<double>(exchangeMisuses()));
     metrics_.setGauge("crocusport_callback_failures", "Callbacks that ended with an exception.",
                       static_cast<double>(callbackFailures()));
+    setClientGauges();
     exchange.reply(kOk, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text());
 }
 
@@ -631,6 +707,7 @@
         waitingTimer_.startOnce(Duration::zero());
     if (now >= nextHousekeeping_) {
         nextHousekeeping_ = now + kHousekeepingInterval;
+        logClientLosses();
         prefixes_.expire(now);
         crashes_.expire(now);
         parts_.expire(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "storeditems.h"
 #include "storefeed.h"
 
+#include "crocusport/transport/clientmemory.h"
 #include "crocusport/transport/httpserver.h"
 
 #include <memory>
@@ -94,6 +95,9 @@
     void tick();
     void continueShutdown();
     void applyLimits();
+    std::size_t maxCallers() const;
+    void logClientLosses();
+    void setClientGauges();
 
     EventLoop &loop_;
     GatewaySettings settings_;
@@ -115,6 +119,8 @@
     RequestMetrics metrics_;
     std::shared_ptr<const RoutingTable> table_;
     std::unordered_map<PoolName, RetryWindow> retryWindows_;
+    ClientMemory clientMemory_;
+    std::uint64_t loggedLosses_ = 0;
     std::unique_ptr<HttpServer> ready_;
     std::unique_ptr<HttpServer> callers_;
     std::unique_ptr<HttpServer> metricsServer_;
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Other routers keep few connections open; at the limit the longest idle one gives way.
+constexpr std::size_t kMaxQueryConnections = 128;
+
 constexpr Duration kHousekeepingInterval = std::chrono::seconds(1);
 // Routers whose load does not change report at this interval, as a heartbeat.
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
@@ -120,7 +123,8 @@
     const auto &settings = parts_.settings;
     const SocketAddress address(settings.ip + ':' + std::to_string(settings.reportPort));
     BOOST_LEAF_ASSIGN(queryServer_,
-                      HttpServer::create(loop, address, {},
+                      HttpServer::create(loop, address,
+                                         HttpServerLimits::withoutBodies(kMaxQueryConnections),
                                          [this](const std::shared_ptr<HttpExchange> &exchange) {
                                              answerQuery(*exchange);
                                          }));
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "crocusport/transport/httpserver.h"
 
+#include "crocusport/transport/clientmemory.h"
 #include "crocusport/transport/eventloop.h"
 
 #include "httpserver_p.h"
@@ -18,15 +19,28 @@
 
 // Delay after a failed accept(), e.g. for lack of file descriptors, so that the loop does not spin.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
+// Interval of checks for connections that must give way; only while a budget is used.
+constexpr Duration kSweepInterval = std::chrono::milliseconds(100);
+// One connection of this many is closed at once to make room, so that a crowd that connects does
+// not cause a search for each connection.
+constexpr std::size_t kRoomPart = 32;
+// Kernel buffers of a caller's connection. By default they grow to megabytes, which count against
+// the memory of the host but not against any budget of the process. 128 KiB at 10 ms of latency
+// carry 13 MB/s.
+constexpr int kKernelBufferBytes = 128 * 1024;
 
 } // namespace
 
 HttpServer::Private::Private(EventLoop &eventLoop, const HttpServerLimits &serverLimits,
-                             Handler requestHandler)
+                             Handler requestHandler, ClientMemory *clientMemory)
     : loop(eventLoop), limits(serverLimits), handler(std::move(requestHandler)),
-      resumeTimer(loop, [this] { resumeAccepting(); }),
-      removalTimer(loop, [this] { removed.clear(); })
-{ }
+      memory(clientMemory), resumeTimer(loop, [this] { resumeAccepting(); }),
+      removalTimer(loop, [this] { removed.clear(); }), reliefTimer(loop, [this] { sweep(); }),
+      sweepTimer(loop, [this] { sweep(); })
+{
+    if (memory || limits.replacesIdle)
+        sweepTimer.startPeriodic(kSweepInterval);
+}
 
 HttpServer::Private::~Private()
 {
@@ -42,6 +56,12 @@
     BOOST_LEAF_ASSIGN(listener, openListener(loop.base(), requested, &Private::onAccepted, this));
     evconnlistener_set_error_cb(listener, &Private::onAcceptError);
     address = listenerAddress(listener);
+    // Accepted sockets inherit the sizes.
+    if (memory) {
+        const auto socket = evconnlistener_get_fd(listener);
+        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &kKernelBufferBytes, sizeof(kKernelBufferBytes));
+        setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &kKernelBufferBytes, sizeof(kKernelBufferBytes));
+    }
     return {};
 }
 
@@ -58,6 +78,9 @@
     if (server->connections.size() >= server->limits.maxConnections) {
         server->isAtLimit = true;
         evconnlistener_disable(server->listener);
+        // Not at once: descriptors of closed connections are released by the loop.
+        if (server->limits.replacesIdle)
+            server->reliefTimer.startOnce(Duration::zero());
     }
 }
 
@@ -73,6 +96,39 @@
         resumeAccepting();
 }
 
+bool HttpServer::Private::makeRoom(std::size_t count)
+{
+    if (!limits.replacesIdle || connections.size() < limits.maxConnections)
+        return false;
+    const auto now = monotonicNow();
+    std::vector<std::pair<Instant, ServerConnection *>> candidates;
+    for (const auto &[key, connection] : connections) {
+        if (const auto since = connection->replaceableSince(now))
+            candidates.emplace_back(*since, key);
+    }
+    count = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end());
+    for (std::size_t i = 0; i < count; ++i) {
+        if (memory)
+            memory->noteLoss(ClientLoss::Replaced);
+        candidates[i].second->close();
+    }
+    return count > 0;
+}
+
+void HttpServer::Private::sweep()
+{
+    if (memory && memory->isPressed()) {
+        const auto now = monotonicNow();
+        for (const auto &[key, connection] : connections)
+            connection->updateUnread(now);
+        memory->relieve(now);
+    }
+    if (isAtLimit)
+        makeRoom(limits.maxConnections / kRoomPart + 1);
+}
+
 void HttpServer::Private::onAcceptError(evconnlistener *listener, void *self)
 {
     evconnlistener_disable(listener);
@@ -116,6 +172,21 @@
     }
 }
 
+HttpServerLimits HttpServerLimits::withoutBodies(std::size_t maxConnections)
+{
+    constexpr std::size_t kMaxHead = 8UL * 1024;
+    constexpr std::size_t kMaxFields = 128;
+    HttpServerLimits limits;
+    limits.maxHeadBytes = kMaxHead;
+    limits.maxBodyBytes = 0;
+    limits.maxConnections = maxConnections;
+    limits.headTimeout = std::chrono::seconds(3);
+    limits.maxFields = kMaxFields;
+    limits.replacesIdle = true;
+    limits.stallTime = std::chrono::milliseconds(100); // Such requests fit into one packet.
+    return limits;
+}
+
 HttpServer::HttpServer() = default;
 
 HttpServer::~HttpServer() = default;
@@ -123,10 +194,10 @@
 Result<std::unique_ptr<HttpServer>> HttpServer::create(EventLoop &loop,
                                                        const SocketAddress &address,
                                                        const HttpServerLimits &limits,
-                                                       Handler handler)
+                                                       Handler handler, ClientMemory *memory)
 {
     std::unique_ptr<HttpServer> server(new HttpServer);
-    server->d_ = std::make_unique<Private>(loop, limits, std::move(handler));
+    server->d_ = std::make_unique<Private>(loop, limits, std::move(handler), memory);
     BOOST_LEAF_CHECK(server->d_->listen(address));
     return server;
 }
--- a/src/transport/httpserver_p.h
+++ b/src/transport/httpserver_p.h
@@ -16,7 +16,8 @@
 
 struct HttpServer::Private
 {
-    Private(EventLoop &eventLoop, const HttpServerLimits &serverLimits, Handler requestHandler);
+    Private(EventLoop &eventLoop, const HttpServerLimits &serverLimits, Handler requestHandler,
+            ClientMemory *clientMemory);
     ~Private();
 
     Private(const Private &) = delete;
@@ -32,14 +33,21 @@
                            int size, void *self);
     static void onAcceptError(evconnlistener *listener, void *self);
     void resumeAccepting();
+    //! Closes connections without progress if the limit of connections is reached; \a count at
+    //! most, the longest without progress first. Returns whether one was closed.
+    bool makeRoom(std::size_t count);
+    void sweep();
 
     EventLoop &loop;
     HttpServerLimits limits;
     Handler handler;
+    ClientMemory *memory; //!< Null: without a budget.
     SocketAddress address;
     evconnlistener *listener = nullptr;
     Timer resumeTimer;
     Timer removalTimer;
+    Timer reliefTimer; //!< Relieves the budget outside of callbacks of exchanges.
+    Timer sweepTimer;  //!< Relieves the budget and makes room for new connections.
     std::unordered_map<ServerConnection *, std::unique_ptr<ServerConnection>> connections;
     std::vector<std::unique_ptr<ServerConnection>> removed;
     std::size_t openExchanges = 0;
--- a/src/transport/serverconnection.h
+++ b/src/transport/serverconnection.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_SERVERCONNECTION_H
 #define CROCUSPORT_SERVERCONNECTION_H
 
+#include "crocusport/transport/clientmemory.h"
 #include "crocusport/transport/httpserver.h"
 #include "crocusport/transport/timer.h"
 
@@ -22,7 +23,7 @@
 
     Thread safety: loop thread only.
 */
-class ServerConnection
+class ServerConnection : private ClientMemory::Holder
 {
 public:
     //! \a server must outlive the connection, which owns \a socket.
@@ -54,6 +55,11 @@
     void reset();
     //! Closes the connection and notifies an open exchange that its caller has disconnected.
     void close();
+    //! Since when the connection has been idle or without progress; nothing if it may not be closed
+    //! for a new connection at \a now.
+    std::optional<Instant> replaceableSince(Instant now) const;
+    //! Charges what the caller has not read of the last response; having read counts as progress.
+    void updateUnread(Instant now);
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -62,6 +68,19 @@
     static void onWritten(bufferevent *bufferevent, void *self);
     static void onEvent(bufferevent *bufferevent, short what, void *self);
 
+    void onGranted() override;
+    void onEvicted() override;
+    void onRefused() override;
+
+    //! Reserves memory. Without it, pauses reading until onGranted() and returns false.
+    bool reserve(ClientCharge kind, std::size_t bytes);
+    bool reserveParsedHead();
+    bool reserveBody();
+    //! Whether the body arrives more slowly than the least rate.
+    bool isBodyTooSlow(Instant now) const;
+    void noteBodyProgress();
+    void setReadLimit(std::size_t bytes);
+    void releaseRequest();
     void resetOnClose();
     bool hasUnreadBytes() const;
     void readRequest();
@@ -71,7 +90,7 @@
     bool parse();
     bool checkHead();
     void startExchange();
-    void reject(int status);
+    void reject(int status, std::string_view extraHeaders = {});
     //! Closes the connection after an exception in a callback, which leaves a request half
     //! processed.
     void closeAfterFailure();
@@ -94,6 +113,13 @@
     bool isClosingAfterWrite_ = false; //!< The response that is being sent is the last one.
     bool isLingering_ = false; //!< Discards input until the caller closes or the time is over.
     bool isContinueSent_ = false;
+    bool isPaused_ = false;                        //!< Reading waits for memory.
+    std::optional<ClientMemory::Account> account_; //!< Nothing without a budget.
+    std::size_t bodyReserved_ = 0;
+    std::size_t progressBytes_ = 0; //!< Size of the body at the last progress.
+    Instant progressAt_;            //!< Last time that counts as progress.
+    Instant pausedAt_;
+    Duration pausedTime_ {}; //!< Time in which the current request waited for memory.
 };
 
 } // namespace crocusport
