Transport, daemon: Test the client budget and offer it in crocusportd

The least rate of a body was checked against the time of the last progress, so a body that trickled was never given up; it is checked against the current time. Closing for new connections frees at least four places at once, because a crowd at the readiness port (18 places) was replaced one by one.

crocusportd has limits.client_memory_bytes, off by default. The operators' port closes its longest idle connection for a new one.

--- a/include/crocusport/protocol/settings.h
+++ b/include/crocusport/protocol/settings.h
@@ -33,6 +33,7 @@
     std::size_t maxConnections = 0;
     std::size_t maxResponseBytes = 0;
     std::size_t answerMemoryBytes = 0; //!< Shared by all responses that are not complete.
+    std::size_t clientMemoryBytes = 0; //!< For callers' requests and unread responses; 0: no limit.
     std::size_t maxStreams = 0;
     Milliseconds idleTimeout {};
 };
--- a/include/crocusport/transport/clientmemory.h
+++ b/include/crocusport/transport/clientmemory.h
@@ -72,6 +72,8 @@
     //! The limits for clients on a host with \a hostBytes of memory (0: unknown), of which
     //! \a answerBytes are wanted for answers.
     static Limits limitsFor(std::size_t hostBytes, std::size_t answerBytes);
+    //! The limits of a budget of \a bytes, at least what the largest body needs.
+    static Limits limitsOf(std::size_t bytes);
     //! The part of \a wantedBytes that answers may use on a host with \a hostBytes of memory.
     static std::size_t answerBytesFor(std::size_t hostBytes, std::size_t wantedBytes);
 
--- a/src/daemon/operatorservice.cpp
+++ b/src/daemon/operatorservice.cpp
@@ -27,8 +27,7 @@
 OperatorService::create(EventLoop &loop, const SocketAddress &address, Sources sources)
 {
     std::unique_ptr<OperatorService> service(new OperatorService(std::move(sources)));
-    HttpServerLimits limits;
-    limits.maxConnections = kMaxOperatorConnections;
+    auto limits = HttpServerLimits::withoutBodies(kMaxOperatorConnections);
     limits.maxBodyBytes = kMaxOperatorBodyBytes;
     BOOST_LEAF_ASSIGN(
         service->server_,
--- a/src/daemon/router.cpp
+++ b/src/daemon/router.cpp
@@ -125,11 +125,19 @@
     limits.maxBodyBytes = settings_.limits.maxBodyBytes;
     limits.maxConnections = settings_.limits.maxConnections;
     limits.idleTimeout = settings_.limits.idleTimeout;
+    if (settings_.limits.clientMemoryBytes > 0) {
+        constexpr std::size_t kMaxFields = 256; // As in the gateway.
+        clientMemory_.emplace(ClientMemory::limitsOf(settings_.limits.clientMemoryBytes));
+        limits.maxFields = kMaxFields;
+        limits.replacesIdle = true;
+    }
     BOOST_LEAF_ASSIGN(callers_,
-                      HttpServer::create(loop_, settings_.listen.callers, limits,
-                                         [this](std::shared_ptr<HttpExchange> exchange) {
-                                             RequestSession::start(services_, std::move(exchange));
-                                         }));
+                      HttpServer::create(
+                          loop_, settings_.listen.callers, limits,
+                          [this](std::shared_ptr<HttpExchange> exchange) {
+                              RequestSession::start(services_, std::move(exchange));
+                          },
+                          clientMemory_ ? &*clientMemory_ : nullptr));
     OperatorService::Sources sources;
     sources.metrics = [this] { return metricsText(); };
     sources.isReady = [this] { return isReady(); };
--- a/src/daemon/router.h
+++ b/src/daemon/router.h
@@ -8,6 +8,7 @@
 #include "requestexplainer.h"
 #include "routerservices.h"
 
+#include "crocusport/transport/clientmemory.h"
 #include "crocusport/transport/hostlistclient.h"
 #include "crocusport/transport/httpserver.h"
 
@@ -89,6 +90,7 @@
     HealthMonitor health_;
     std::unique_ptr<PeerControl> peers_;
     std::unique_ptr<OperatorService> operators_;
+    std::optional<ClientMemory> clientMemory_;
     std::unique_ptr<HttpServer> callers_;
     Timer tickTimer_;
     Instant started_;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -150,6 +150,10 @@
                             "Memory for responses of backend servers that are not complete, beyond "
                             "16 kB for each. One response gets at most a third of it.",
                             kStore<&Settings::limits, &LimitSettings::answerMemoryBytes>),
+        integerEntry<Draft>("limits.client_memory_bytes", "bytes", "0", 0, kGibibyte,
+                            "Memory for the requests of callers and responses that they have not "
+                            "read; 0: not limited, else at least 10000000.",
+                            kStore<&Settings::limits, &LimitSettings::clientMemoryBytes>),
         integerEntry<Draft>("limits.max_streams", "", "5000", 1, 1'000'000,
                             "Most requests in progress at the same time.",
                             kStore<&Settings::limits, &LimitSettings::maxStreams>),
--- a/src/transport/clientmemory.cpp
+++ b/src/transport/clientmemory.cpp
@@ -37,10 +37,14 @@
 
 ClientMemory::Limits ClientMemory::limitsFor(std::size_t hostBytes, std::size_t answerBytes)
 {
-    Limits limits;
     const auto share = shareOf(hostBytes);
-    const auto answers = answerBytesFor(hostBytes, answerBytes);
-    limits.totalBytes = std::max(share - std::min(share, answers), kMinTotalBytes);
+    return limitsOf(share - std::min(share, answerBytesFor(hostBytes, answerBytes)));
+}
+
+ClientMemory::Limits ClientMemory::limitsOf(std::size_t bytes)
+{
+    Limits limits;
+    limits.totalBytes = std::max(bytes, kMinTotalBytes);
     limits.reserveBytes = limits.totalBytes / kReservePart;
     return limits;
 }
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -24,6 +24,7 @@
 // One connection of this many is closed at once to make room, so that a crowd that connects does
 // not cause a search for each connection.
 constexpr std::size_t kRoomPart = 32;
+constexpr std::size_t kMinRoom = 4;
 // Kernel buffers of a caller's connection. By default they grow to megabytes, which count against
 // the memory of the host but not against any budget of the process. 128 KiB at 10 ms of latency
 // carry 13 MB/s.
@@ -126,7 +127,7 @@
         memory->relieve(now);
     }
     if (isAtLimit)
-        makeRoom(limits.maxConnections / kRoomPart + 1);
+        makeRoom(std::max(limits.maxConnections / kRoomPart, kMinRoom));
 }
 
 void HttpServer::Private::onAcceptError(evconnlistener *listener, void *self)
--- a/src/transport/serverconnection.cpp
+++ b/src/transport/serverconnection.cpp
@@ -238,7 +238,7 @@
     }
     if (account_ && !parser_->is_done()) {
         noteBodyProgress();
-        if (isBodyTooSlow(progressAt_)) {
+        if (isBodyTooSlow(monotonicNow())) {
             server_.memory->noteLoss(ClientLoss::TooSlow);
             reject(kRequestTimeout);
             return false;
