Transport: Serve bodies above the budget one at a time

A body limit above the part of the budget for large requests left such requests waiting until they were refused, also without load (found by testearlyanswers: a 16 MiB body on the default budget). Reservations are cut to three quarters of that part. test_transport's client tests and test_platform "*limit*", "*answer*" and "*large*" pass.

--- a/include/crocusport/transport/clientmemory.h
+++ b/include/crocusport/transport/clientmemory.h
@@ -98,6 +98,12 @@
     std::size_t heldBytes(ClientCharge kind) const { return held_[index(kind)]; }
     std::size_t waitingCount() const { return waiting_.size(); }
     const Limits &limits() const { return limits_; }
+    //! Reservations above this count as this: a request of any size that the body limit allows is
+    //! served, but no two of them at once, and idle connections fit beside it.
+    std::size_t maxReservation() const
+    {
+        return (limits_.totalBytes - limits_.reserveBytes) / 4 * 3;
+    }
     //! Counts a client that was turned away by the connection itself.
     void noteLoss(ClientLoss reason) { ++losses_[static_cast<std::size_t>(reason)]; }
     std::uint64_t losses(ClientLoss reason) const
@@ -138,8 +144,9 @@
     Account &operator=(const Account &) = delete;
 
     /*!
-        Sets the bytes held as \a kind. Returns false if they do not fit; the charge then stays as
-        it is until Holder::onGranted(), and the connection must not read. At most one kind waits.
+        Sets the bytes held as \a kind, at most maxReservation(). Returns false if they do not fit;
+       the charge then stays as it is until Holder::onGranted(), and the connection must not read.
+       At most one kind waits.
     */
     bool reserve(ClientCharge kind, std::size_t bytes, Instant now);
     //! Sets the bytes held as \a kind, which exist already. May exceed the limit; relieve() then
--- a/src/transport/clientmemory.cpp
+++ b/src/transport/clientmemory.cpp
@@ -147,6 +147,7 @@
 
 bool ClientMemory::Account::reserve(ClientCharge kind, std::size_t bytes, Instant now)
 {
+    bytes = std::min(bytes, memory_.maxReservation());
     const auto before = held_[index(kind)];
     if (bytes <= before || memory_.fits(*this, bytes - before)) {
         charge(kind, bytes);
--- a/tests/transport/testclientmemory.cpp
+++ b/tests/transport/testclientmemory.cpp
@@ -77,6 +77,14 @@
         CHECK(other.reserve(kMaxBody, at(0)));
     }
 
+    SECTION("a body that the limit allows but the budget does not hold passes alone")
+    {
+        // Guards against a body limit above the budget that no request can reach.
+        Client other(memory, at(0));
+        CHECK(client.reserve(8 * kMaxBody, at(0)));
+        CHECK_FALSE(other.reserve(8 * kMaxBody, at(0)));
+    }
+
     SECTION("large bodies fill the budget")
     {
         std::vector<std::unique_ptr<Client>> crowd;
