Gateway, transport: Release the memory of answers that ended

Requests kept the buffer of an answer after the budget had released it, the heap kept the parts that growing answers had left, and on a small host the part for unread answers followed the least budget instead of the host.

--- a/include/crocusport/transport/clientmemory.h
+++ b/include/crocusport/transport/clientmemory.h
@@ -59,6 +59,7 @@
     {
         std::size_t totalBytes = 0;
         std::size_t reserveBytes = 0; //!< Only for accounts that hold at most kSmallBytes.
+        std::size_t unreadBytes = 0;  //!< Part for unread answers.
         //! Time without progress after which a connection is closed when others need its memory.
         Duration stallTime = std::chrono::seconds(1);
         Duration maxWait = std::chrono::seconds(10); //!< Then a waiting request is refused.
@@ -86,12 +87,12 @@
     void relieve(Instant now);
     //! Whether relieve() has something to do.
     bool isPressed() const { return !waiting_.empty() || isOverLimit(); }
-    //! Whether more than the limit is held, or more than half of it for unread answers: these are
-    //! charged when they exist already.
+    //! Whether more than the limit is held, or more than their part for unread answers: these
+    //! are charged when they exist already.
     bool isOverLimit() const
     {
         return heldBytes_ > limits_.totalBytes
-            || heldBytes(ClientCharge::UnreadAnswer) > limits_.totalBytes / 2;
+            || heldBytes(ClientCharge::UnreadAnswer) > limits_.unreadBytes;
     }
 
     std::size_t heldBytes() const { return heldBytes_; }
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -347,7 +347,8 @@
     isSendConfirmed_ = false;
     hasDroppedCopy_ = false;
     answer_.reset();
-    body_.clear();
+    // Releases the memory, which the budget of answers no longer counts.
+    std::string().swap(body_);
     splitter_.clear();
     heldAnswer_.release();
     isStream_ = false;
@@ -795,6 +796,7 @@
     if (server_ && call_ && !call_->isEnded() && isSent())
         noteUnanswered(now);
     releaseServer();
+    std::string().swap(body_); // The request may be destroyed later.
     RequestMeasurement measurement;
     measurement.requestClass = ClassName(route_.name);
     measurement.team = team_;
--- a/src/transport/clientmemory.cpp
+++ b/src/transport/clientmemory.cpp
@@ -45,6 +45,8 @@
 {
     Limits limits;
     limits.totalBytes = std::max(bytes, kMinTotalBytes);
+    // Of what was asked for: the least total is only for a single large body.
+    limits.unreadBytes = std::max(bytes / 2, kMiB);
     limits.reserveBytes = limits.totalBytes / kReservePart;
     return limits;
 }
--- a/tests/transport/testclientmemory.cpp
+++ b/tests/transport/testclientmemory.cpp
@@ -124,7 +124,7 @@
     {
         // They exist before they are charged, so they cannot be refused.
         Client other(memory, at(0));
-        client.account->charge(ClientCharge::UnreadAnswer, memory.limits().totalBytes / 2);
+        client.account->charge(ClientCharge::UnreadAnswer, memory.limits().unreadBytes);
         other.account->charge(ClientCharge::UnreadAnswer, kMiB);
         memory.relieve(at(0));
         CHECK(!client.account);
