Gateway: Limit the requests at servers that have just started

Cause: a server that has started or returned looks idle, so that all routers send it their next requests at once while it is cold. Change: StartPace gives such a server a window of requests in flight over all routers, which grows with good answers and slowly with time, and is halved by faults, refusals and slow answers. The selector ignores it when no other server has a free slot. Off unless pace.enabled is true.

--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -61,6 +61,7 @@
     Milliseconds serverHeartbeat {}; //!< Time after which a server writes its entry again.
     std::size_t answerMemoryMb = 24; //!< For responses that cannot be forwarded yet.
     Milliseconds reportInterval {};  //!< Minimum time between two load reports.
+    bool isStartPaced = false;       //!< Whether requests at new servers are limited.
     DutySettings duties;
 
     /*!
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -523,6 +523,7 @@
     if (isFirst) {
         services_.requestBegan(team_, std::exchange(hasBegun_, true));
         services_.silence.noteBegin(route_.name, account_.attemptTime(now));
+        services_.answerBegan(*server_, route_.name, account_.attemptTime(now));
         services_.partsAnswered(sharedParts_);
     }
     if (load_.prefillTokens > 0) {
@@ -582,6 +583,7 @@
             server_->health.noteMisdirected(now);
         else
             server_->health.noteRefusal(now);
+        services_.serverRefused(*server_);
         releaseServer();
         onFault(AttemptFault::NotRun, ResultCode::BackendServerRefused);
         return;
@@ -589,6 +591,8 @@
     mayHaveRun_ = true;
     const bool isFailure = answer_->status >= kServerError;
     server_->health.noteAnswer(isFailure, now);
+    if (isFailure)
+        services_.serverRefused(*server_);
     // A faulty server may respond with an error without having run the request.
     if (answer_->status >= kOk && answer_->status < kMultipleChoices)
         services_.crashes.noteCompleted(fingerprint_, now);
@@ -599,6 +603,8 @@
     if (!isStream_) {
         services_.paceSeen(*server_, toSeconds(time) * kMsPerSecond);
         services_.silence.noteBegin(route_.name, time);
+        if (!isFailure)
+            services_.answerBegan(*server_, route_.name, time);
     } else if (const auto pace = account_.eventPaceMs(now)) {
         services_.paceSeen(*server_, *pace);
     }
@@ -621,6 +627,8 @@
         server_->health.noteBrokenConnection(now);
     else if (callEnd.failure != HttpFailure::Withdrawn)
         server_->health.noteUnreachable(now);
+    if (fault != AttemptFault::NotSent || callEnd.failure != HttpFailure::Withdrawn)
+        services_.serverFailed(*server_);
     const bool isClosed = callEnd.failure == HttpFailure::ClosedBeforeResponse
         || callEnd.failure == HttpFailure::ClosedMidResponse;
     // A server that sends responses twice may also close too early; that is no sign of a crash.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "crocusport/transport/eventloop.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace crocusport {
@@ -139,6 +140,18 @@
               server.pace.note(ms, monotonicNow());
               exchange_->notePace(server.hash, ms);
           },
+          [this](KnownServer &server, const std::string &route, Duration time) {
+              if (startPace_)
+                  startPace_->noteBegin(server, route, time, monotonicNow());
+          },
+          [this](KnownServer &server) {
+              if (startPace_)
+                  startPace_->noteRefusal(server, monotonicNow());
+          },
+          [this](KnownServer &server) {
+              if (startPace_)
+                  startPace_->noteFault(server, monotonicNow());
+          },
           [this] { return exchange_->loads().meanAge(monotonicNow()); },
           [this](KnownServer &server) { noteRequestSent(server); },
           [this](KnownServer &server) { onServerLeaving(server, "answer"); },
@@ -156,7 +169,20 @@
           },
           {}
       }
-{ }
+{
+    if (!settings_.isStartPaced)
+        return;
+    startPace_ = std::make_unique<StartPace>(
+        settings_.router,
+        [this](const BackendServerName &server, PaceChange change, double window) {
+            log_.write(LogLine("start_window")
+                           .add("server", server.value())
+                           .add("change", paceChangeName(change))
+                           .add("window", std::llround(window))
+                           .text());
+        });
+    selector_.setStartPace(startPace_.get());
+}
 
 Gateway::~Gateway()
 {
@@ -326,6 +352,8 @@
             table_ = std::make_shared<const RoutingTable>(std::move(configuration));
             applyLimits();
             directory_.setPools(table_->poolNames());
+            if (startPace_)
+                startPace_->noteConfiguration(monotonicNow());
             log_.write(LogLine("configuration_adopted")
                            .add("version", table_->version().value())
                            .add("routes", table_->configuration().routes.size())
@@ -357,6 +385,8 @@
     const auto after = directory_.find(entry.name);
     if (before && before->start != entry.start)
         prefixes_.removeServer(after->hash);
+    if (startPace_)
+        startPace_->noteServer(*after, monotonicNow());
     exchange_->refreshLoads();
     LogLine line("server_changed");
     line.add("server", entry.name.value())
@@ -376,6 +406,8 @@
     backends_.closeIdle(server->entry.address);
     prefixes_.removeServer(server->hash);
     directory_.remove(name);
+    if (startPace_)
+        startPace_->removeServer(name);
     onServerChanged(*server);
     LogLine line("server_removed");
     line.add("server", name.value());
@@ -641,6 +673,10 @@
                       static_cast<double>(exchangeMisuses()));
     metrics_.setGauge("crocusport_callback_failures", "Callbacks that ended with an exception.",
                       static_cast<double>(callbackFailures()));
+    if (startPace_)
+        metrics_.setGauge("crocusport_start_windows",
+                          "Backend servers whose requests are limited because they are new.",
+                          static_cast<double>(startPace_->windows()));
     if (duties_)
         duties_->describe(metrics_);
     if (orders_)
@@ -655,6 +691,8 @@
     if (now - startedAt_ >= kMaxStartWait && !stopRequestedAt_)
         callers_->resumeAccepting();
     exchange_->tick(now);
+    if (startPace_)
+        startPace_->tick(exchange_->routers().fleetSize(), now);
     if (duties_)
         duties_->tick();
     if (orders_ && table_)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -108,6 +108,7 @@
     ServerDirectory directory_;
     PrefixMemory prefixes_;
     ServerSelector selector_;
+    std::unique_ptr<StartPace> startPace_; //!< Null unless the setting pace.enabled is true.
     WaitingList waiting_;
     SilenceLimits silence_;
     CrashLedger crashes_;
--- a/src/gateway/gatewayservices.h
+++ b/src/gateway/gatewayservices.h
@@ -9,6 +9,7 @@
 #include "serverdirectory.h"
 #include "serverselector.h"
 #include "silencelimits.h"
+#include "startpace.h"
 #include "unansweredruns.h"
 #include "waitinglist.h"
 
@@ -75,6 +76,12 @@
     std::function<void(const std::vector<Fingerprint> &parts)> trialStarted;
     //! Reports a sample of the server's pace; see ServerPace.
     std::function<void(KnownServer &, double ms)> paceSeen;
+    //! Reports the time until the first event of a stream, or until an answer that is no stream.
+    std::function<void(KnownServer &, const std::string &route, Duration)> answerBegan;
+    //! Reports that a server refused a request or answered with a failure.
+    std::function<void(KnownServer &)> serverRefused;
+    //! Reports that an attempt ended without a valid answer.
+    std::function<void(KnownServer &)> serverFailed;
     //! Returns the mean age of the loads that other routers have reported.
     std::function<Duration()> loadAge;
     //! Reports that a request is sent to the server.
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -123,6 +123,12 @@
         integerEntry<GatewaySettings>("report.interval_ms", "ms", "100", 10, kMinuteMs,
                                       "Least time between two load reports to other routers.",
                                       kStore<&GatewaySettings::reportInterval>),
+        choiceEntry<GatewaySettings>(
+            "pace.enabled", KeyNeed::Optional, "false", kYesNo,
+            "Whether the requests at servers that have just started are limited.",
+            [](GatewaySettings &settings, const KeyValue &value) {
+                settings.isStartPaced = choiceOf<bool>(kYesNo, value);
+            }),
     };
 }
 
--- a/src/gateway/placement/serverselector.cpp
+++ b/src/gateway/placement/serverselector.cpp
@@ -1,5 +1,7 @@
 #include "serverselector.h"
 
+#include "startpace.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -200,9 +202,25 @@
             : prefixes_.cachedTokens(server->hash, profile.parts, profile.prefixHashes, now);
         found.push_back({ server, cached, serverPosition });
     }
+    applyStartPace(found, now);
     return found;
 }
 
+void ServerSelector::applyStartPace(std::vector<Candidate> &found, Instant now) const
+{
+    if (!startPace_)
+        return;
+    const bool hasOther = std::any_of(found.begin(), found.end(), [&](const auto &candidate) {
+        const auto &server = *candidate.server;
+        return server.load().requests < server.entry.slots && !server.health.isAvoided(now)
+            && startPace_->admits(server, now);
+    });
+    if (hasOther)
+        std::erase_if(found, [&](const auto &candidate) {
+            return !startPace_->admits(*candidate.server, now);
+        });
+}
+
 Duration ServerSelector::pause(const PoolName &pool, Instant now) const
 {
     auto shortest = Duration::max();
--- a/src/gateway/placement/serverselector.h
+++ b/src/gateway/placement/serverselector.h
@@ -9,6 +9,8 @@
 
 namespace crocusport {
 
+class StartPace;
+
 //! The work that a request causes at a backend server.
 struct WorkProfile
 {
@@ -55,6 +57,10 @@
     ServerSelector(const ServerDirectory &directory, const PrefixMemory &prefixes,
                    AvailabilityZone zone, std::uint64_t seed);
 
+    //! Limits the requests at new servers from now on. \a pace must outlive the selector or the
+    //! next call; null limits nothing.
+    void setStartPace(const StartPace *pace) { startPace_ = pace; }
+
     /*!
         Returns the best server of \a pool that has capacity for the request and is not in
         \a excluded, or none. Avoided servers are only chosen if there is no other.
@@ -81,6 +87,8 @@
                                       const WorkProfile &profile,
                                       const std::vector<BackendServerName> &excluded,
                                       Instant now) const;
+    //! Removes the servers whose start window is full, if another candidate has a free slot.
+    void applyStartPace(std::vector<Candidate> &found, Instant now) const;
     double cost(const KnownServer &server, const PoolEntry *entry, const WorkProfile &profile,
                 std::uint32_t cachedTokens, Instant now) const;
     double generationCost(const WorkProfile &profile, const ServerLoad &load,
@@ -89,6 +97,7 @@
     const ServerDirectory &directory_;
     const PrefixMemory &prefixes_;
     AvailabilityZone zone_;
+    const StartPace *startPace_ = nullptr;
     std::mt19937_64 random_;
 };
 
