Gateway: Bound the weight of single answers in the pace of servers that start

Cause: one lucky answer of a router that knows of many requests could double the window, and good answers raised a router's share for as long as the window lasted, so that the sum over 78 routers was only bounded at first. Change: an answer stands for at most 4, and raises the share only in its turn.

--- a/src/gateway/pace/startpace.cpp
+++ b/src/gateway/pace/startpace.cpp
@@ -32,6 +32,9 @@
 // A server whose connections broke this often, each time soon after the last, gets a window.
 constexpr int kRepeatedFaults = 3;
 constexpr Duration kFaultMemory = std::chrono::seconds(2);
+// One good answer stands for at most this many answers to all routers.
+constexpr double kMaxAnswerWeight = 4;
+// Weight of the newest answer in the mean of a route; sizes of prompts vary widely.
 constexpr double kBeginWeight = 0.05;
 constexpr double kMsPerSecond = 1000;
 
@@ -90,15 +93,20 @@
     return std::min<double>(window.slots, window.size * std::exp2(doublings));
 }
 
+std::uint64_t StartPace::turnAt(const Window &window, Instant now)
+{
+    return static_cast<std::uint64_t>((now - window.openedAt) / kTurn);
+}
+
 double StartPace::share(const BackendServerName &name, const Window &window, Instant now) const
 {
     const double even = sizeAt(window, now) / static_cast<double>(routers_);
     const double whole = std::floor(even);
-    const auto turn = static_cast<std::uint64_t>((now - window.openedAt) / kTurn);
+    const auto turn = turnAt(window, now);
     const auto seed = XXH64(name.value().data(), name.value().size(), turn);
     const auto hash = XXH64(router_.value().data(), router_.value().size(), seed);
     const bool isRoundedUp = std::ldexp(static_cast<double>(hash), -64) < even - whole;
-    return whole + (isRoundedUp ? 1 : 0) + window.earned;
+    return whole + (isRoundedUp ? 1 : 0) + (window.earnedTurn == turn ? window.earned : 0);
 }
 
 bool StartPace::admits(const KnownServer &server, Instant now) const
@@ -166,9 +174,11 @@
         return;
     const auto size = sizeAt(window, now);
     const double own = std::max(1U, server.own.requests);
-    window.size = size + std::min(size, std::max(1.0, server.load().requests / own));
+    window.size = size + std::clamp(server.load().requests / own, 1.0, kMaxAnswerWeight);
     window.sizedAt = now;
-    window.earned += 1;
+    const auto turn = turnAt(window, now);
+    window.earned = window.earnedTurn == turn ? window.earned + 1 : 1;
+    window.earnedTurn = turn;
     if (window.size < window.slots)
         return;
     const auto last = window.size;
@@ -208,7 +218,7 @@
     state.faults = 0;
     if (size >= server.entry.slots)
         return;
-    state.window = Window { server.entry.slots, size, 0, now, now, {} };
+    state.window = Window { server.entry.slots, size, 0, 0, now, now, {} };
     report(server.entry.name, PaceChange::Opened, size);
 }
 
@@ -217,7 +227,7 @@
     if (window.halvedAt != Instant() && now - window.halvedAt < kHalvingInterval)
         return;
     window.size = std::max(kMinWindow, sizeAt(window, now) / 2);
-    window.earned = std::floor(window.earned / 2);
+    window.earned = 0;
     window.openedAt = now;
     window.sizedAt = now;
     window.halvedAt = now;
