--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -64,6 +64,7 @@
     std::size_t answerMemoryMb = 24; //!< For responses that cannot be forwarded yet.
     Milliseconds reportInterval {};  //!< Minimum time between two load reports.
     bool holdsUnderPressure = false; //!< Whether requests for engines are held under pressure.
+    bool isStartPaced = false;       //!< Whether requests at new servers are limited.
     DutySettings duties;
 
     /*!
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -113,6 +113,7 @@
     ServerDirectory directory_;
     PrefixMemory prefixes_;
     ServerSelector selector_;
+    std::unique_ptr<StartPace> startPace_; //!< Null unless the setting pace.enabled is true.
     WaitingList waiting_;
     AdmissionPlan admission_ { directory_ };
     SilenceLimits silence_;
