--- a/src/gateway/scaling/demandforecast.cpp
+++ b/src/gateway/scaling/demandforecast.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-// Engines prefill 60 to 125 prompt tokens per ms.
-constexpr double kPrefillTokensPerS = 90'000;
+// Engines prefill 60 to 125 prompt tokens per ms; a low value errs on the side of more servers.
+constexpr double kPrefillTokensPerS = 70'000;
 // With all slots busy, an engine generates one token per slot each 3 to 5 ms.
 constexpr double kSecondsPerToken = 0.004;
 // Share of an engine's time that is planned for. Streams with a first event within 300 ms and
 // pauses under 250 ms wait for each prompt of 12,000 tokens that is prefilled before them, 100 to
-// 200 ms; at this share, two such prompts seldom meet at one engine.
-constexpr double kTargetUtilisation = 0.5;
+// 200 ms; at this share, two such prompts rarely meet at one engine.
+constexpr double kTargetUtilisation = 0.4;
 // Share of the slots that are busy in the mean. Requests do not spread evenly: the busiest server
 // has about twice the mean, and must not queue.
 constexpr double kTargetSlotShare = 0.5;
