--- a/src/gateway/duties/dutyreport.cpp
+++ b/src/gateway/duties/dutyreport.cpp
@@ -149,7 +149,7 @@
         report.demand[PoolName(row[0].get<std::string>())] = { row[1].get<std::uint64_t>(),
                                                                row[2].get<std::uint64_t>(),
                                                                row[3].get<std::uint64_t>(),
-                                                               row[4].get<std::uint64_t>() };
+                                                               row[4].get<std::uint32_t>() };
     }
     return report;
 }
