--- a/tests/platform/limits/crowd.cpp
+++ b/tests/platform/limits/crowd.cpp
@@ -74,7 +74,8 @@
     return -1;
 }
 
-Crowd::Crowd(CrowdKind kind, std::uint16_t port, std::string target, std::string headers)
+Crowd::Crowd(CrowdKind kind, std::uint16_t port, const std::string &target,
+             const std::string &headers)
     : kind_(kind), bytes_(bytes(target, headers)), clients_(clientCount(kind))
 {
     pieceBytes_ = kind == CrowdKind::Pieces ? kPiece : bytes_.size();
--- a/tests/platform/limits/crowd.h
+++ b/tests/platform/limits/crowd.h
@@ -26,7 +26,8 @@
 {
 public:
     //! \a target and \a headers are those of each request, on the port \a port of 127.0.0.1.
-    Crowd(CrowdKind kind, std::uint16_t port, std::string target, std::string headers);
+    Crowd(CrowdKind kind, std::uint16_t port, const std::string &target,
+          const std::string &headers);
     ~Crowd();
 
     Crowd(const Crowd &) = delete;
