Tests: Give the server of the crowds' tests a complete entry

Cause: entries without version name no server since the decoder requires it, so no request of these tests was served. Change: the stand-in writes the field that every server writes.

--- a/tests/platform/limits/main.cpp
+++ b/tests/platform/limits/main.cpp
@@ -76,7 +76,8 @@
     const Json entry = { { "service", "pool" }, { "address", address.value() },
                          { "zone", "zone-1" },  { "slots", 200 },
                          { "state", "ready" },  { "coldRemainingMs", 0 },
-                         { "born", 1000 },      { "seq", 1 } };
+                         { "version", "v1" },   { "born", 1000 },
+                         { "seq", 1 } };
     return entry.dump();
 }
 
