--- a/src/gateway/storeditems.h
+++ b/src/gateway/storeditems.h
@@ -24,7 +24,8 @@
 
     The removal of a backend server's entry is held back after an outage of the store, in which
     entries expire although their servers run; it is carried out when
-    StoreOutages::mayEntriesReturn() no longer holds, unless the entry is back by then.
+    StoreOutages::mayEntriesReturn() no longer holds and the copy is from after that time, or after
+    kMaxReadTime, unless the entry is back by then.
 
     Times are from the boot clock. Thread safety: none; use from one thread. The parts must outlive
     the object.
