--- a/review/standins-2/common.cc
+++ b/review/standins-2/common.cc
@@ -338,6 +338,13 @@
         change(key, toBase64(value), false);
     }
 
+    //! Removes an item; the return is the ack.
+    void remove(const std::string &key)
+    {
+        std::lock_guard lock(mutex_);
+        change(key, {}, true);
+    }
+
 private:
     struct Event
     {
@@ -639,11 +646,13 @@
            "\"idleTimeoutMs\":15000}";
 }
 
-inline std::string serverJson(const std::string &service, const std::string &address, int slots)
+inline std::string serverJson(const std::string &service, const std::string &address, int slots,
+                              int sequence = 1)
 {
     return "{\"service\":\"" + service + "\",\"address\":\"" + address
         + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" + std::to_string(slots)
-        + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":1,\"born\":1765000000000}";
+        + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":" + std::to_string(sequence)
+        + ",\"born\":1765000000000}";
 }
 
 //! A request to the route \a route. \a headers holds further header lines.
