GatewaySettings: Accept fractions for times and sizes

Cause: every time was an integer key with a member of whole milliseconds or seconds. DEPLOY.md: "bounds specifies their figures as whole numbers, fractions, or true or false."

Change: times are held as Duration and filled only by durationEntry(), which derives unit and conversion from one type and takes any number; sizes of memory are numbers. Counts stay whole, and 4100.0 is whole. retry.window_s and shutdown.grace_s go down to 0.1 s, usage_delay_s to 0.

Evidence: the message on standard error names the key; of four hypotheses in the postmortem it fits one.

--- a/include/crocusport/gateway/gatewaysettings.h
+++ b/include/crocusport/gateway/gatewaysettings.h
@@ -23,9 +23,9 @@
     bool reportsUsage = false;  //!< Reports the requests of each team.
     bool ordersServers = false; //!< Orders backend servers for pools that allow it.
     double callsPerSecond = 0;  //!< Limit of the platform, for all routers together.
-    Milliseconds lease {}; //!< Time for which the platform expects one holder after its last call.
-    std::chrono::seconds usageWindow {}; //!< Length of the windows of usage reports.
-    std::chrono::seconds usageDelay {};  //!< Time from the end of a window until its report is due.
+    Duration lease {}; //!< Time for which the platform expects one holder after its last call.
+    Duration usageWindow {}; //!< Length of the windows of usage reports.
+    Duration usageDelay {};  //!< Time from the end of a window until its report is due.
 
     bool isEnabled() const { return !address.value().empty() && (reportsUsage || ordersServers); }
 };
@@ -46,23 +46,23 @@
     std::uint16_t metricsPort = 0;    //!< TCP port of the metrics; 0 disables them.
     std::vector<SocketAddress> seeds; //!< Routers to contact first; only the hosts are used.
     SocketAddress store;
-    Milliseconds revocationBound {}; //!< Time after which a withdrawn key is refused everywhere.
+    Duration revocationBound {}; //!< Time after which a withdrawn key is refused everywhere.
     //! Whether all keys are refused once the store has been unreachable for the revocation bound.
     bool isRevocationStrict = false;
-    Milliseconds leavingBound {};          //!< Time after which a leaving server gets no requests.
-    Milliseconds configurationBound {};    //!< Time within which a new configuration takes effect.
-    double retryRatio = 0;                 //!< Retries per request, over all routers.
-    double retrySlack = 0;                 //!< Additional retries per window, over all routers.
-    std::chrono::seconds retryWindow {};   //!< Window of the retry budget.
-    std::chrono::seconds shutdownGrace {}; //!< Time from SIGTERM until the process is killed.
+    Duration leavingBound {};       //!< Time after which a leaving server gets no requests.
+    Duration configurationBound {}; //!< Time within which a new configuration takes effect.
+    double retryRatio = 0;          //!< Retries per request, over all routers.
+    double retrySlack = 0;          //!< Additional retries per window, over all routers.
+    Duration retryWindow {};        //!< Window of the retry budget.
+    Duration shutdownGrace {};      //!< Time from SIGTERM until the process is killed.
     //! Maximum time between two queries for changes of the store; longer after failures.
-    Milliseconds storePollInterval {};
-    Milliseconds stabilityWindow {}; //!< Time after an outage of the store without bounds.
-    Milliseconds serverHeartbeat {}; //!< Time after which a server writes its entry again.
-    std::size_t hostMemoryMb = 0;    //!< Memory of the host; 0: unknown.
+    Duration storePollInterval {};
+    Duration stabilityWindow {};     //!< Time after an outage of the store without bounds.
+    Duration serverHeartbeat {};     //!< Time after which a server writes its entry again.
+    double hostMemoryMb = 0;         //!< Memory of the host; 0: unknown.
     std::size_t descriptors = 0;     //!< File descriptors of the process; 0: unknown.
-    std::size_t answerMemoryMb = 24; //!< For responses that cannot be forwarded yet.
-    Milliseconds reportInterval {};  //!< Minimum time between two load reports.
+    double answerMemoryMb = 24;      //!< For responses that cannot be forwarded yet.
+    Duration reportInterval {};      //!< Minimum time between two load reports.
     bool holdsUnderPressure = false; //!< Whether requests for engines are held under pressure.
     bool isStartPaced = false;       //!< Whether requests at new servers are limited.
     DutySettings duties;
--- a/src/gateway/duties/gatewayduties.cpp
+++ b/src/gateway/duties/gatewayduties.cpp
@@ -57,7 +57,8 @@
       trueTime_(wallClock(), uptime()), knownSince_(trueTime_.now(uptime())),
       reports_({ parts_.settings.duties.usageWindow, parts_.settings.duties.usageDelay }),
       store_(parts_.client, parts_.formats, parts_.settings.store), calls_(parts_.client),
-      holder_(store_, kHolderKey, owner_, incarnation_, parts_.settings.duties.lease, bootNow())
+      holder_(store_, kHolderKey, owner_, incarnation_,
+              std::chrono::floor<Milliseconds>(parts_.settings.duties.lease), bootNow())
 {
     Team limit;
     limit.name = kLimiterName;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,7 +31,7 @@
 constexpr Duration kDiscoveryTime = std::chrono::milliseconds(2500);
 // Store entries of routers that are silent for this long are removed.
 constexpr Duration kMaxEntrySilence = std::chrono::seconds(60);
-constexpr std::size_t kBytesPerMb = 1024UL * 1024;
+constexpr double kBytesPerMb = 1024.0 * 1024;
 // With strict revocation, a router that checks keys is ready only while its configuration is
 // younger than this share of the revocation bound.
 constexpr double kReadyAgeShare = 0.5;
@@ -89,6 +89,11 @@
     return settings.descriptors == 0 ? kDefaultDescriptors : settings.descriptors;
 }
 
+std::size_t bytesOfMb(double megabytes)
+{
+    return static_cast<std::size_t>(megabytes * kBytesPerMb);
+}
+
 HttpClient::Options backendOptions()
 {
     HttpClient::Options options;
@@ -114,10 +119,10 @@
       random_(std::random_device {}()), backends_(loop, backendOptions()),
       storeClient_(loop, backendOptions()), routerClient_(loop, backendOptions()),
       selector_(directory_, prefixes_, settings_.zone, random_()),
-      answerMemory_(ClientMemory::answerBytesFor(settings_.hostMemoryMb * kBytesPerMb,
-                                                 settings_.answerMemoryMb * kBytesPerMb)),
-      clientMemory_(ClientMemory::limitsFor(settings_.hostMemoryMb * kBytesPerMb,
-                                            settings_.answerMemoryMb * kBytesPerMb)),
+      answerMemory_(ClientMemory::answerBytesFor(bytesOfMb(settings_.hostMemoryMb),
+                                                 bytesOfMb(settings_.answerMemoryMb))),
+      clientMemory_(ClientMemory::limitsFor(bytesOfMb(settings_.hostMemoryMb),
+                                            bytesOfMb(settings_.answerMemoryMb))),
       tickTimer_(loop, [this] { tick(); }),
       waitingTimer_(loop,
                     [this] {
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -13,6 +13,7 @@
 
 constexpr double kMaxPort = 65'535;
 constexpr double kMinuteMs = 60'000;
+constexpr double kMinSeconds = 0.1;
 constexpr double kHourS = 3600;
 constexpr double kMaxSeeds = 100;
 constexpr double kMaxMemoryMb = 1'048'576;
@@ -26,6 +27,22 @@
 template<auto... path>
 constexpr auto kStore = storeTo<GatewaySettings, path...>;
 
+template<auto... path>
+Entry msEntry(std::string_view name, std::string_view defaultText, double min, double max,
+              std::string_view description)
+{
+    return durationEntry<GatewaySettings, std::milli, path...>(name, defaultText, min, max,
+                                                               description);
+}
+
+template<auto... path>
+Entry secondsEntry(std::string_view name, std::string_view defaultText, double min, double max,
+                   std::string_view description)
+{
+    return durationEntry<GatewaySettings, std::ratio<1>, path...>(name, defaultText, min, max,
+                                                                  description);
+}
+
 Entry addressEntry(std::string_view name, std::string_view description,
                    void (*store)(GatewaySettings &, const KeyValue &))
 {
@@ -39,6 +56,16 @@
              store };
 }
 
+Entry megabytesEntry(std::string_view name, std::string_view defaultText, double min, double max,
+                     std::string_view description,
+                     void (*store)(GatewaySettings &, const KeyValue &))
+{
+    return {
+        { name, KeyType::Number, KeyNeed::Optional, "MB", defaultText, min, max, {}, description },
+        store
+    };
+}
+
 Entry portEntry(std::string_view name, std::string_view description,
                 void (*store)(GatewaySettings &, const KeyValue &))
 {
@@ -81,58 +108,54 @@
 std::vector<Entry> boundEntries()
 {
     return {
-        integerEntry<GatewaySettings>("store.poll_interval_ms", "ms", "800", 50, kMinuteMs,
-                                      "Time between two calls for changes.",
-                                      kStore<&GatewaySettings::storePollInterval>),
-        integerEntry<GatewaySettings>("bounds.revocation_ms", "ms", "5000", 100, kMinuteMs,
-                                      "Time after which a withdrawn key is refused everywhere.",
-                                      kStore<&GatewaySettings::revocationBound>),
-        integerEntry<GatewaySettings>("bounds.stability_ms", "ms", "3000", 0, kMinuteMs,
-                                      "Time after an outage of the store in which the bounds of "
-                                      "leaving servers do not hold.",
-                                      kStore<&GatewaySettings::stabilityWindow>),
-        integerEntry<GatewaySettings>(
-            "servers.heartbeat_ms", "ms", "1200", 10, kMinuteMs,
-            "Time after which a backend server writes its entry again; it expires after three.",
-            kStore<&GatewaySettings::serverHeartbeat>),
+        msEntry<&GatewaySettings::storePollInterval>("store.poll_interval_ms", "800", 50, kMinuteMs,
+                                                     "Time between two calls for changes."),
+        msEntry<&GatewaySettings::revocationBound>(
+            "bounds.revocation_ms", "5000", 100, kMinuteMs,
+            "Time after which a withdrawn key is refused everywhere."),
+        msEntry<&GatewaySettings::stabilityWindow>(
+            "bounds.stability_ms", "3000", 0, kMinuteMs,
+            "Time after an outage of the store in which the bounds of "
+            "leaving servers do not hold."),
+        msEntry<&GatewaySettings::serverHeartbeat>(
+            "servers.heartbeat_ms", "1200", 10, kMinuteMs,
+            "Time after which a backend server writes its entry again; it expires after three."),
         choiceEntry<GatewaySettings>(
             "bounds.strict_revocation", KeyNeed::Optional, "true", kYesNo,
             "Whether keys are refused while the store has not been heard for that time.",
             [](GatewaySettings &settings, const KeyValue &value) {
                 settings.isRevocationStrict = choiceOf<bool>(kYesNo, value);
             }),
-        integerEntry<GatewaySettings>("bounds.leaving_ms", "ms", "2000", 100, kMinuteMs,
-                                      "Time after which a leaving server gets no more requests.",
-                                      kStore<&GatewaySettings::leavingBound>),
-        integerEntry<GatewaySettings>("bounds.configuration_ms", "ms", "2000", 100, kMinuteMs,
-                                      "Time in which a new configuration is in force.",
-                                      kStore<&GatewaySettings::configurationBound>),
+        msEntry<&GatewaySettings::leavingBound>(
+            "bounds.leaving_ms", "2000", 100, kMinuteMs,
+            "Time after which a leaving server gets no more requests."),
+        msEntry<&GatewaySettings::configurationBound>(
+            "bounds.configuration_ms", "2000", 100, kMinuteMs,
+            "Time in which a new configuration is in force."),
         numberEntry("retry.ratio", "0.1", 10, "Repeats for each request, over all routers.",
                     kStore<&GatewaySettings::retryRatio>),
         numberEntry("retry.slack", "10", kMaxRetrySlack,
                     "Further repeats in each window, over all routers.",
                     kStore<&GatewaySettings::retrySlack>),
-        integerEntry<GatewaySettings>("retry.window_s", "s", "10", 1, kHourS,
-                                      "Window of the retry budget.",
-                                      kStore<&GatewaySettings::retryWindow>),
-        integerEntry<GatewaySettings>("shutdown.grace_s", "s", "10", 1, kHourS,
-                                      "Time from SIGTERM until the process is ended by force.",
-                                      kStore<&GatewaySettings::shutdownGrace>),
-        integerEntry<GatewaySettings>("memory.host_mb", "MB", "0", 0, kMaxMemoryMb,
-                                      "Memory of the host, which bounds what is held for clients; "
-                                      "0: unknown, then as 120.",
-                                      kStore<&GatewaySettings::hostMemoryMb>),
+        secondsEntry<&GatewaySettings::retryWindow>("retry.window_s", "10", kMinSeconds, kHourS,
+                                                    "Window of the retry budget."),
+        secondsEntry<&GatewaySettings::shutdownGrace>(
+            "shutdown.grace_s", "10", kMinSeconds, kHourS,
+            "Time from SIGTERM until the process is ended by force."),
+        megabytesEntry("memory.host_mb", "0", 0, kMaxMemoryMb,
+                       "Memory of the host, which bounds what is held for clients; "
+                       "0: unknown, then as 120.",
+                       kStore<&GatewaySettings::hostMemoryMb>),
         integerEntry<GatewaySettings>("limits.descriptors", "", "0", 0, kMaxDescriptors,
                                       "File descriptors of the process, which bound the callers' "
                                       "connections; 0: unknown, then as 3,075.",
                                       kStore<&GatewaySettings::descriptors>),
-        integerEntry<GatewaySettings>(
-            "memory.answers_mb", "MB", "24", 1, kMaxAnswersMb,
-            "Memory for answers that cannot be passed on yet, beyond 16 kB for each.",
-            kStore<&GatewaySettings::answerMemoryMb>),
-        integerEntry<GatewaySettings>("report.interval_ms", "ms", "100", 10, kMinuteMs,
-                                      "Least time between two load reports to other routers.",
-                                      kStore<&GatewaySettings::reportInterval>),
+        megabytesEntry("memory.answers_mb", "24", 1, kMaxAnswersMb,
+                       "Memory for answers that cannot be passed on yet, beyond 16 kB for each.",
+                       kStore<&GatewaySettings::answerMemoryMb>),
+        msEntry<&GatewaySettings::reportInterval>(
+            "report.interval_ms", "100", 10, kMinuteMs,
+            "Least time between two load reports to other routers."),
         choiceEntry<GatewaySettings>(
             "pace.enabled", KeyNeed::Optional, "false", kYesNo,
             "Whether the requests at servers that have just started are limited.",
@@ -182,15 +205,14 @@
         numberEntry("duties.calls_per_s", "10", kMaxDutyCalls,
                     "Calls a second that the platform accepts from all routers together.",
                     kStore<&GatewaySettings::duties, &DutySettings::callsPerSecond>),
-        integerEntry<GatewaySettings>("duties.lease_ms", "ms", "3000", 1000, kMinuteMs,
-                                      "Lease of the router that performs the duties.",
-                                      kStore<&GatewaySettings::duties, &DutySettings::lease>),
-        integerEntry<GatewaySettings>("duties.usage_window_s", "s", "5", 1, kHourS,
-                                      "Length of the windows of usage reports.",
-                                      kStore<&GatewaySettings::duties, &DutySettings::usageWindow>),
-        integerEntry<GatewaySettings>("duties.usage_delay_s", "s", "10", 1, kHourS,
-                                      "Time from the end of a window until its report is due.",
-                                      kStore<&GatewaySettings::duties, &DutySettings::usageDelay>),
+        msEntry<&GatewaySettings::duties, &DutySettings::lease>(
+            "duties.lease_ms", "3000", 1000, kMinuteMs,
+            "Lease of the router that performs the duties."),
+        secondsEntry<&GatewaySettings::duties, &DutySettings::usageWindow>(
+            "duties.usage_window_s", "5", 1, kHourS, "Length of the windows of usage reports."),
+        secondsEntry<&GatewaySettings::duties, &DutySettings::usageDelay>(
+            "duties.usage_delay_s", "10", 0, kHourS,
+            "Time from the end of a window until its report is due."),
     };
 }
 
--- a/src/protocol/keytable.cpp
+++ b/src/protocol/keytable.cpp
@@ -94,6 +94,15 @@
            });
 }
 
+//! Returns \a real as an integer, or nothing if it is not whole: 4100.0 and 4100 are the same.
+std::optional<std::int64_t> wholeNumber(double real)
+{
+    constexpr double kMaxExact = 9'007'199'254'740'992; // Every whole number up to 2^53 is exact.
+    if (!(std::abs(real) <= kMaxExact) || std::trunc(real) != real)
+        return std::nullopt;
+    return static_cast<std::int64_t>(real);
+}
+
 std::optional<KeyValue> convert(const KeyDescription &key, const TomlValue &value)
 {
     const auto *text = std::get_if<std::string>(&value.value);
@@ -101,10 +110,14 @@
     const auto *real = std::get_if<double>(&value.value);
     const auto *texts = std::get_if<std::vector<std::string>>(&value.value);
     switch (key.type) {
-    case KeyType::Integer:
-        if (integer && isInRange(key, static_cast<double>(*integer)))
-            return *integer;
+    case KeyType::Integer: {
+        const auto whole = integer ? std::optional(*integer)
+            : real                 ? wholeNumber(*real)
+                                   : std::nullopt;
+        if (whole && isInRange(key, static_cast<double>(*whole)))
+            return *whole;
         break;
+    }
     case KeyType::Number: {
         const double number = integer ? static_cast<double>(*integer) : real ? *real : NAN;
         if (isInRange(key, number))
--- a/src/protocol/keytable.h
+++ b/src/protocol/keytable.h
@@ -3,13 +3,17 @@
 
 #include "tomltable.h"
 
+#include "crocusport/state/instant.h"
+
 #include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <ratio>
 #include <span>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -68,6 +72,38 @@
     };
 }
 
+//! Stores a number of units of \a Period as a Duration; fractions of a microsecond are dropped.
+template<typename Period, typename Target, auto... path>
+void storeDurationTo(Target &target, const KeyValue &value)
+{
+    using Number = std::chrono::duration<double, Period>;
+    static_assert(std::same_as<std::remove_cvref_t<decltype((target.*....*path))>, Duration>);
+    (target.*....*path) = std::chrono::duration_cast<Duration>(Number(std::get<double>(value)));
+}
+
+template<typename Period>
+inline constexpr std::string_view kPeriodUnit = "s";
+template<>
+inline constexpr std::string_view kPeriodUnit<std::milli> = "ms";
+
+//! A key that holds a time in units of \a Period, which may be a fraction, in the member of type
+//! Duration that \a path leads to.
+template<typename Target, typename Period, auto... path>
+KeyEntry<Target> durationEntry(std::string_view name, std::string_view defaultText, double min,
+                               double max, std::string_view description)
+{
+    return { { name,
+               KeyType::Number,
+               KeyNeed::Optional,
+               kPeriodUnit<Period>,
+               defaultText,
+               min,
+               max,
+               {},
+               description },
+             storeDurationTo<Period, Target, path...> };
+}
+
 template<typename Target>
 KeyEntry<Target> choiceEntry(std::string_view name, KeyNeed need, std::string_view defaultText,
                              std::span<const std::string_view> choices,
