FieldReader: Read times and whole numbers from any JSON number

Change: integers accept a real that is whole and exact; durations drop the fraction of their unit. Other reals are malformed as before.

Mutated messages (testmutations.cpp) still decode or fail without another effect.

--- a/src/protocol/jsonfields.cpp
+++ b/src/protocol/jsonfields.cpp
@@ -3,6 +3,7 @@
 #include "base64.h"
 
 #include <charconv>
+#include <cmath>
 
 namespace crocusport {
 
@@ -110,12 +111,30 @@
         fail(key, "is not a number");
 }
 
+namespace {
+
+//! Returns \a json as an integer; nothing if it is not a number or not whole. JSON has one kind of
+//! number, so 1500.0 is 1500.
+std::optional<std::int64_t> wholeReal(const nlohmann::json &json)
+{
+    constexpr double kMaxExact = 9'007'199'254'740'992; // Every whole number up to 2^53 is exact.
+    const auto *real = json.get_ptr<const double *>();
+    if (!real || !(std::abs(*real) <= kMaxExact) || std::trunc(*real) != *real)
+        return std::nullopt;
+    return static_cast<std::int64_t>(*real);
+}
+
+} // namespace
+
 std::optional<std::uint64_t> FieldReader::readUnsigned(const char *key, const nlohmann::json &json,
                                                        std::uint64_t max)
 {
     const auto *positive = json.get_ptr<const std::uint64_t *>();
     if (positive && *positive <= max)
         return *positive;
+    if (const auto whole = wholeReal(json);
+        whole && *whole >= 0 && std::cmp_less_equal(*whole, max))
+        return static_cast<std::uint64_t>(*whole);
     fail(key, "is not an integer from 0 to " + std::to_string(max));
     return std::nullopt;
 }
@@ -130,6 +149,9 @@
     } else if (const auto *integer = json.get_ptr<const std::int64_t *>()) {
         if (*integer >= min && *integer <= max)
             return *integer;
+    } else if (const auto whole = wholeReal(json)) {
+        if (*whole >= min && *whole <= max)
+            return whole;
     }
     fail(key, "is not an integer from " + std::to_string(min) + " to " + std::to_string(max));
     return std::nullopt;
--- a/src/protocol/jsonfields.h
+++ b/src/protocol/jsonfields.h
@@ -199,8 +199,7 @@
             read(key, json, inner);
             value = T(std::move(inner));
         } else if constexpr (kIsDuration<T>) {
-            const auto limit = std::chrono::duration_cast<T>(kMaxTransmittedDuration).count();
-            value = T(readSigned(key, json, -limit, limit).value_or(0));
+            readDuration(key, json, value);
         } else if constexpr (std::is_enum_v<T>) {
             static constexpr auto &kNames = EnumNames<T>::kNames;
             value = static_cast<T>(readName(key, json, kNames.data(), kNames.size()));
@@ -228,6 +227,21 @@
         }
     }
 
+    //! Reads a number of units of the duration; a fraction of a unit is dropped.
+    template<typename Count, typename Period>
+    void readDuration(const char *key, const nlohmann::json &json,
+                      std::chrono::duration<Count, Period> &value)
+    {
+        using Unit = std::chrono::duration<Count, Period>;
+        const auto limit = std::chrono::duration_cast<Unit>(kMaxTransmittedDuration).count();
+        const auto *real = json.get_ptr<const double *>();
+        // A NaN is in no range.
+        if (real && *real >= static_cast<double>(-limit) && *real <= static_cast<double>(limit))
+            value = Unit(static_cast<Count>(*real));
+        else
+            value = Unit(readSigned(key, json, -limit, limit).value_or(0));
+    }
+
     template<typename T>
     void readVector(const char *key, const nlohmann::json &json, std::vector<T> &value)
     {
