RoutingTable: Distinguish an empty list of teams from none

Cause: one value stood for "no keys are required" and "no key is valid". PROTOCOL.md: "If the configuration contains tenants, a request carries a key".

--- a/include/crocusport/gateway/routingtable.h
+++ b/include/crocusport/gateway/routingtable.h
@@ -91,10 +91,18 @@
     ConfigurationVersion version;
     std::vector<Route> routes;
     std::vector<PoolEntry> pools;
-    std::vector<TeamEntry> teams;           //!< If empty, requests need no key.
+    //! None: requests need no key. A list, also an empty one: only keys of its teams are valid.
+    std::optional<std::vector<TeamEntry>> teams;
     std::optional<HttpServerLimits> limits; //!< For callers; maxConnections is ignored.
 };
 
+//! Whether a configuration allows a request, and for which team.
+struct Access
+{
+    bool isAllowed = false;
+    const TeamEntry *team = nullptr; //!< None: the request is anonymous.
+};
+
 /*!
     A configuration, indexed for lookups.
 
@@ -107,7 +115,8 @@
 
     ConfigurationVersion version() const { return configuration_.version; }
     const RoutingConfiguration &configuration() const { return configuration_; }
-    bool hasTeams() const { return !configuration_.teams.empty(); }
+    //! Whether requests need a key, except on routes that allow anonymous callers.
+    bool requiresKeys() const { return configuration_.teams.has_value(); }
 
     //! Returns the route of \a host with the longest prefix of \a path, or nullptr.
     const Route *findRoute(std::string_view host, std::string_view path) const;
@@ -115,6 +124,8 @@
     std::unordered_set<PoolName> poolNames() const;
     //! Returns the team that holds \a key, or nullptr.
     const TeamEntry *findTeam(const std::string &key) const;
+    //! Decides whether a request with \a key may use \a route of this table.
+    Access access(const Route &route, const std::optional<std::string> &key) const;
     /*!
         Returns the urgency rank of a request, 0 for the most urgent. The priority of the team
         decides first, then the priority of the route. Teams without a priority and callers without
--- a/src/gateway/forwardedrequest.cpp
+++ b/src/gateway/forwardedrequest.cpp
@@ -182,27 +182,24 @@
 
 bool ForwardedRequest::findTeam()
 {
-    urgency_ = table_->urgency(route_, nullptr);
-    if (!table_->hasTeams())
-        return true;
+    const auto [isAllowed, team] = table_->access(route_, request_.key);
+    urgency_ = table_->urgency(route_, team);
     const auto age = services_.configurationAge();
-    const auto *const team = request_.key ? table_->findTeam(*request_.key) : nullptr;
-    if (!team) {
-        if (route_.allowsAnonymous)
-            return true;
+    if (!isAllowed) {
         if (age > kMaxAgeForDenial)
             refuse(kUnavailable, ResultCode::NotConfigured, kRetryAfterUnready);
         else
             refuse(kUnauthorized, ResultCode::BadCredential);
         return false;
     }
+    if (!team)
+        return true;
     if (services_.settings.isRevocationStrict
         && age > services_.settings.revocationBound - kRevocationMargin) {
         refuse(kUnavailable, ResultCode::StoreUnavailable, kRetryAfterUnready);
         return false;
     }
     team_ = team->name;
-    urgency_ = table_->urgency(route_, team);
     return true;
 }
 
@@ -242,15 +239,18 @@
         sharedParts_.push_back(partFingerprint(work_.parts[i].id));
 }
 
-// The current configuration may no longer contain the route or the key of a waiting request.
+// The current configuration may no longer contain the route of a waiting request, or may no longer
+// give it to the same team.
 bool ForwardedRequest::isStillAllowed() const
 {
     const auto current = services_.table();
     if (current == table_)
         return true;
-    if (!current->findRoute(request_.host, exchange_->path()))
+    const auto *const route = current->findRoute(request_.host, exchange_->path());
+    if (!route)
         return false;
-    return team_.value().empty() || current->findTeam(*request_.key);
+    const auto [isAllowed, team] = current->access(*route, request_.key);
+    return isAllowed && (team ? team->name : TeamName()) == team_;
 }
 
 // This may become true while the request waits: other routers report crashes, or more servers crash
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -692,7 +692,7 @@
 {
     if (stopRequestedAt_ || !table_ || !feed_->mirror().isComplete())
         return false;
-    return !table_->hasTeams() || !settings_.isRevocationStrict
+    return !table_->requiresKeys() || !settings_.isRevocationStrict
         || toSeconds(configurationAge()) < kReadyAgeShare * toSeconds(settings_.revocationBound);
 }
 
--- a/src/gateway/routingtable.cpp
+++ b/src/gateway/routingtable.cpp
@@ -41,11 +41,13 @@
     }
     for (const auto &pool : configuration_.pools)
         pools_.emplace(pool.name, &pool);
-    for (const auto &team : configuration_.teams) {
-        for (const auto &key : team.keys)
-            teams_.emplace(key, &team);
-        if (team.priority)
-            teamPriorities_.push_back(*team.priority);
+    if (configuration_.teams) {
+        for (const auto &team : *configuration_.teams) {
+            for (const auto &key : team.keys)
+                teams_.emplace(key, &team);
+            if (team.priority)
+                teamPriorities_.push_back(*team.priority);
+        }
     }
     for (const auto &route : configuration_.routes)
         routePriorities_.push_back(route.priority);
@@ -99,4 +101,12 @@
     return found == teams_.end() ? nullptr : found->second;
 }
 
+Access RoutingTable::access(const Route &route, const std::optional<std::string> &key) const
+{
+    if (!requiresKeys())
+        return { true, nullptr };
+    const auto *const team = key ? findTeam(*key) : nullptr;
+    return { team || route.allowsAnonymous, team };
+}
+
 } // namespace crocusport
--- a/tests/gateway/testroutingtable.cpp
+++ b/tests/gateway/testroutingtable.cpp
@@ -41,9 +41,9 @@
     RoutingConfiguration configuration;
     configuration.routes = { route("a", "/chat/", 0), route("a", "/tag/", 10),
                              route("a", "/report/", 20) };
-    configuration.teams = { { TeamName("first"), { "k1" }, 0 },
-                            { TeamName("second"), { "k2" }, 5 },
-                            { TeamName("plain"), { "k3" }, std::nullopt } };
+    configuration.teams = std::vector<TeamEntry> { { TeamName("first"), { "k1" }, 0 },
+                                                   { TeamName("second"), { "k2" }, 5 },
+                                                   { TeamName("plain"), { "k3" }, std::nullopt } };
     const RoutingTable table(std::move(configuration));
     const auto urgency = [&](const char *path, const char *key) {
         return table.urgency(*table.findRoute("a", path), table.findTeam(key));
@@ -65,3 +65,41 @@
         REQUIRE(urgency("/chat/", "none") == urgency("/chat/", "k3"));
     }
 }
+
+// Guards against a configuration whose list of teams has become empty and then admits every key.
+SCENARIO("Which requests a configuration allows")
+{
+    RoutingConfiguration configuration;
+    configuration.routes = { route("a", "/keyed/"), route("a", "/open/") };
+    configuration.routes[1].allowsAnonymous = true;
+    const auto isAllowed = [&](const char *path, std::optional<std::string> key) {
+        const RoutingTable table(configuration);
+        return table.access(*table.findRoute("a", path), std::move(key)).isAllowed;
+    };
+
+    WHEN("it has no list of teams")
+    {
+        REQUIRE(isAllowed("/keyed/", std::nullopt));
+        REQUIRE(isAllowed("/keyed/", "k"));
+    }
+    WHEN("its list of teams is empty, or none of its teams has a key")
+    {
+        configuration.teams.emplace();
+        if (GENERATE(false, true))
+            configuration.teams->push_back({ TeamName("team"), {}, std::nullopt });
+        REQUIRE_FALSE(isAllowed("/keyed/", std::nullopt));
+        REQUIRE_FALSE(isAllowed("/keyed/", "k"));
+        REQUIRE_FALSE(isAllowed("/keyed/", ""));
+        REQUIRE(isAllowed("/open/", std::nullopt));
+        REQUIRE(isAllowed("/open/", "k"));
+    }
+    WHEN("a team holds a key")
+    {
+        configuration.teams = std::vector<TeamEntry> { { TeamName("team"), { "k" }, 0 } };
+        REQUIRE(isAllowed("/keyed/", "k"));
+        REQUIRE_FALSE(isAllowed("/keyed/", "other"));
+        REQUIRE_FALSE(isAllowed("/keyed/", std::nullopt));
+        const RoutingTable table(configuration);
+        REQUIRE(table.access(*table.findRoute("a", "/open/"), "k").team == table.findTeam("k"));
+    }
+}
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -40,6 +40,25 @@
              { "resumable", isResumable } };
 }
 
+Json configurationJson(int version, const std::string &key, std::size_t maxBodyBytes)
+{
+    return { { "version", version },
+             { "routes",
+               { routeJson("safe", "safe", false, 2), routeJson("unsafe", "unsafe", false, 1),
+                 routeJson("stream", "stream", true, 2), routeJson("patient", "stream", true, 3),
+                 routeJson("fragile", "stream", false, 1),
+                 routeJson("lasting", "unsafe", false, 1, kLongTimeoutMs) } },
+             { "services",
+               { { { "name", "pool" }, { "healthPath", "/health" }, { "maxConns", 100 } } } },
+             { "limits",
+               { { "maxHeaderBytes", 4096 },
+                 { "maxBodyBytes", maxBodyBytes },
+                 { "headerTimeoutMs", 1000 },
+                 { "idleTimeoutMs", 15'000 } } },
+             { "tenants",
+               { { { "name", "team-1" }, { "apiKeys", { key } }, { "priority", 1 } } } } };
+}
+
 } // namespace
 
 StandInServer::StandInServer(EventLoop &loop, std::string name) : name_(std::move(name))
@@ -124,22 +143,15 @@
 
 void Deployment::configure(int version, const std::string &key, std::size_t maxBodyBytes)
 {
-    const Json configuration = {
-        { "version", version },
-        { "routes",
-          { routeJson("safe", "safe", false, 2), routeJson("unsafe", "unsafe", false, 1),
-            routeJson("stream", "stream", true, 2), routeJson("patient", "stream", true, 3),
-            routeJson("fragile", "stream", false, 1),
-            routeJson("lasting", "unsafe", false, 1, kLongTimeoutMs) } },
-        { "services",
-          { { { "name", "pool" }, { "healthPath", "/health" }, { "maxConns", 100 } } } },
-        { "limits",
-          { { "maxHeaderBytes", 4096 },
-            { "maxBodyBytes", maxBodyBytes },
-            { "headerTimeoutMs", 1000 },
-            { "idleTimeoutMs", 15'000 } } },
-        { "tenants", { { { "name", "team-1" }, { "apiKeys", { key } }, { "priority", 1 } } } }
-    };
+    store.put("op/config", configurationJson(version, key, maxBodyBytes).dump());
+}
+
+void Deployment::configureTeams(int version, const std::string &teams)
+{
+    auto configuration = configurationJson(version, {}, kMaxBodyBytes);
+    configuration.erase("tenants");
+    if (!teams.empty())
+        configuration["tenants"] = Json::parse(teams);
     store.put("op/config", configuration.dump());
 }
 
--- a/tests/platform/deployment.h
+++ b/tests/platform/deployment.h
@@ -48,6 +48,8 @@
 class Deployment
 {
 public:
+    static constexpr std::size_t kMaxBodyBytes = 100'000;
+
     explicit Deployment(LoopRunner &runner, Milliseconds revocationBound = std::chrono::seconds(5));
     //! Uses other formats than the platform's; \a formats must outlive the deployment.
     Deployment(LoopRunner &runner, const FormatTable &formats, Milliseconds revocationBound);
@@ -59,7 +61,9 @@
         request() knows, and one team, whose only key is \a key.
     */
     void configure(int version, const std::string &key = "key-1",
-                   std::size_t maxBodyBytes = 100'000);
+                   std::size_t maxBodyBytes = kMaxBodyBytes);
+    //! Like configure(), with the JSON text \a teams as the list of teams; empty: without a list.
+    void configureTeams(int version, const std::string &teams);
     //! Writes or replaces the entry of \a server in the store, with the start number \a start.
     void registerServer(const StandInServer &server, const std::string &state = "ready",
                         int start = kStart);
--- a/tests/platform/testforwarding.cpp
+++ b/tests/platform/testforwarding.cpp
@@ -119,6 +119,37 @@
             client.send(Deployment::request("safe"));
             REQUIRE(answered("401"));
         }
+        // Guards against keys that are valid because the last team was removed.
+        THEN("no key is valid once the list of teams is empty")
+        {
+            deployment.configureTeams(8, "[]");
+            deployment.settle();
+            client.send(Deployment::request("safe"));
+            REQUIRE(answered("401"));
+            RawClient other(runner.loop(), deployment.gateway->callersAddress());
+            other.send(Deployment::request("safe", "", "key-2"));
+            REQUIRE(runner.runUntil([&] { return isAnswered(other, "401"); }));
+            REQUIRE(deployment.first.requests.empty());
+        }
+        THEN("every caller is served once there is no list of teams")
+        {
+            deployment.configureTeams(8, "");
+            deployment.settle();
+            client.send(Deployment::request("safe", "", "key-2"));
+            REQUIRE(answered("200"));
+            REQUIRE(StandInServer::header(deployment.first.requests.at(0), "X-Tenant").empty());
+        }
+        // Guards against a list of teams that cannot be read and then counts as none.
+        THEN("a configuration whose list of teams is of another type changes nothing")
+        {
+            deployment.configureTeams(8, GENERATE("null", "{}", "\"team-1\"", "[null]", "0"));
+            deployment.settle();
+            client.send(Deployment::request("safe", "", "key-2"));
+            REQUIRE(answered("401"));
+            RawClient other(runner.loop(), deployment.gateway->callersAddress());
+            other.send(Deployment::request("safe"));
+            REQUIRE(runner.runUntil([&] { return isAnswered(other, "200"); }));
+        }
         // Guards against entries written by others that do not describe a server.
         THEN("entries that cannot be decoded are ignored")
         {
