--- a/tests/protocol/testclassfiles.cpp
+++ b/tests/protocol/testclassfiles.cpp
@@ -121,6 +121,14 @@
         }
     }
 
+    // Guards against a class that is open to every team because its last team was taken out.
+    GIVEN("a class with an empty list of teams")
+    {
+        REQUIRE(faultsOf({ kPools, changed(kChat, "[\"field-officers\"]", "[]") })
+                == "x/chat.toml:8: teams is a list of 0; allowed is a list of 1 to 1000 texts that "
+                   "are not empty");
+    }
+
     // Guards against the order of files deciding which of two definitions is in force.
     GIVEN("files that are valid only by themselves")
     {
