ServerDirectory: Keep what is known of a server beyond its entry

Cause: what a router knows of a server was dropped with its entry: that it leaves, its pause, health, pace, crashes, running requests and cached prefixes. An entry that came back began without any of it.

Change: a removed server is kept for 60 s, and an entry of the same start gets the same object back. A server that moves to another address or pool within a start is still leaving. Reports of other routers reach removed servers, too.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -458,7 +458,7 @@
 
 void Gateway::updateServer(const ServerEntry &entry)
 {
-    const auto known = directory_.find(entry.name);
+    const auto known = directory_.findRetained(serverHash(entry.name));
     const auto before = known ? std::optional(known->entry) : std::nullopt;
     directory_.update(entry, monotonicNow());
     if (known)
@@ -485,10 +485,7 @@
     if (!server)
         return;
     backends_.closeIdle(server->entry.address);
-    prefixes_.removeServer(server->hash);
-    directory_.remove(name);
-    if (startPace_)
-        startPace_->removeServer(name);
+    directory_.remove(name, monotonicNow());
     onServerChanged(*server);
     LogLine line("server_removed");
     line.add("server", name.value());
@@ -496,6 +493,15 @@
     log_.write(line.text());
 }
 
+void Gateway::expireServers(Instant now)
+{
+    for (const auto &server : directory_.expire(now)) {
+        prefixes_.removeServer(server->hash);
+        if (startPace_)
+            startPace_->removeServer(server->entry.name);
+    }
+}
+
 void Gateway::noteRequestSent(KnownServer &server)
 {
     const auto age = configurationAge();
@@ -814,6 +820,7 @@
     if (now >= nextHousekeeping_) {
         nextHousekeeping_ = now + kHousekeepingInterval;
         logClientLosses();
+        expireServers(now);
         prefixes_.expire(now);
         crashes_.expire(now);
         parts_.expire(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,8 @@
     void onConfiguration(const std::string &text);
     void updateServer(const ServerEntry &entry);
     void removeServer(const BackendServerName &name);
+    //! Drops what is known of servers that were removed long ago.
+    void expireServers(Instant now);
     //! Called after the entry of \a server was updated or removed. If the server has crashed, the
     //! requests that were abandoned on it without a response are suspected to be the cause.
     void onServerChanged(const KnownServer &server);
--- a/src/gateway/routerexchange.cpp
+++ b/src/gateway/routerexchange.cpp
@@ -211,15 +211,15 @@
             noteZonePromptPrefix(server, prefix);
     }
     for (const auto &[hash, pace] : report.paces) {
-        if (const auto server = parts_.servers.find(hash))
+        if (const auto server = parts_.servers.findRetained(hash))
             server->pace.note(pace / kPaceUnitsPerMs, now);
     }
     for (const auto hash : report.broken) {
-        if (const auto server = parts_.servers.find(hash))
+        if (const auto server = parts_.servers.findRetained(hash))
             server->health.noteBrokenElsewhere(now);
     }
     for (const auto &[hash, start] : report.leaving) {
-        const auto server = parts_.servers.find(hash);
+        const auto server = parts_.servers.findRetained(hash);
         if (server && server->entry.start == start)
             parts_.serverLeaves(*server, report.router.name);
     }
--- a/src/gateway/serverdirectory.cpp
+++ b/src/gateway/serverdirectory.cpp
@@ -157,41 +157,73 @@
 void ServerDirectory::update(const ServerEntry &entry, Instant now)
 {
     auto &server = servers_[entry.name];
-    const bool isRestarted = server && server->entry.start != entry.start;
-    const bool isMoved =
-        server && (server->entry.pool != entry.pool || server->entry.address != entry.address);
-    if (isRestarted || isMoved) {
+    const auto known = server ? server : takeRemoved(entry);
+    const bool isSameStart = known && known->entry.start == entry.start;
+    const bool isSame =
+        isSameStart && known->entry.pool == entry.pool && known->entry.address == entry.address;
+    if (server && !isSame) {
         server->isGone = true;
         unlink(server);
         server = nullptr;
     }
     if (!server) {
-        server = std::make_shared<KnownServer>();
+        server = isSame ? known : std::make_shared<KnownServer>();
         server->hash = serverHash(entry.name);
-        hashes_[server->hash] = server;
-        auto &pool = pools_[entry.pool];
-        pool.insert(std::upper_bound(pool.begin(), pool.end(), server,
-                                     [](const auto &left, const auto &right) {
-                                         return left->hash < right->hash;
-                                     }),
-                    server);
+        server->isGone = false;
+        // A server that is leaving does not stay because it is registered otherwise.
+        server->isLeaving = isSameStart && known->isLeaving;
         server->entry = entry;
-        byAddress_[entry.address].push_back(server);
-        settleAddress(entry.address);
+        link(server);
     }
     server->entry = entry;
     server->coldUntil = now + entry.coldRemaining;
 }
 
-void ServerDirectory::remove(const BackendServerName &name)
+void ServerDirectory::remove(const BackendServerName &name, Instant now)
 {
     const auto found = servers_.find(name);
     if (found == servers_.end())
         return;
-    found->second->isGone = true;
-    unlink(found->second);
-    hashes_.erase(found->second->hash);
+    const auto server = found->second;
+    server->isGone = true;
+    unlink(server);
+    hashes_.erase(server->hash);
     servers_.erase(found);
+    removed_.insert_or_assign(name, RemovedServer { server, now });
+}
+
+std::vector<ServerDirectory::ServerPointer> ServerDirectory::expire(Instant now)
+{
+    std::vector<ServerPointer> expired;
+    for (const auto &[name, removed] : removed_) {
+        if (now - removed.at >= kRetentionTime)
+            expired.push_back(removed.server);
+    }
+    for (const auto &server : expired)
+        removed_.erase(server->entry.name);
+    return expired;
+}
+
+ServerDirectory::ServerPointer ServerDirectory::takeRemoved(const ServerEntry &entry)
+{
+    const auto found = removed_.find(entry.name);
+    if (found == removed_.end())
+        return nullptr;
+    auto server = std::move(found->second.server);
+    removed_.erase(found);
+    return server;
+}
+
+void ServerDirectory::link(const ServerPointer &server)
+{
+    hashes_[server->hash] = server;
+    auto &pool = pools_[server->entry.pool];
+    pool.insert(std::upper_bound(
+                    pool.begin(), pool.end(), server,
+                    [](const auto &left, const auto &right) { return left->hash < right->hash; }),
+                server);
+    byAddress_[server->entry.address].push_back(server);
+    settleAddress(server->entry.address);
 }
 
 void ServerDirectory::unlink(const ServerPointer &server)
@@ -241,6 +273,16 @@
     return found == servers_.end() ? nullptr : found->second;
 }
 
+ServerDirectory::ServerPointer ServerDirectory::findRetained(ServerHash hash) const
+{
+    if (auto server = find(hash))
+        return server;
+    const auto found = std::find_if(removed_.begin(), removed_.end(), [&](const auto &removed) {
+        return removed.second.server->hash == hash;
+    });
+    return found == removed_.end() ? nullptr : found->second.server;
+}
+
 ServerDirectory::ServerPointer ServerDirectory::find(ServerHash hash) const
 {
     const auto found = hashes_.find(hash);
--- a/src/gateway/serverdirectory.h
+++ b/src/gateway/serverdirectory.h
@@ -146,6 +146,10 @@
 /*!
     The registered backend servers, by pool.
 
+    What is known of a server belongs to one start of it and outlives its entry: an entry may expire
+    while the server runs, and may be written again, also by a write that the store carries out
+   late. If the entry is back within kRetentionTime, the server is the same object as before.
+
     Thread safety: none; use from one thread.
 */
 class ServerDirectory
@@ -153,6 +157,9 @@
 public:
     using ServerPointer = std::shared_ptr<KnownServer>;
 
+    //! What is known of a server is kept for this long after the removal of its entry.
+    static constexpr Duration kRetentionTime = std::chrono::seconds(60);
+
     //! Adds or updates a server. The order of the calls decides which entry is the newest, as it is
     //! the order of the store's revisions: an entry may come back as it was.
     void update(const ServerEntry &entry, Instant now);
@@ -162,13 +169,18 @@
         count as named.
     */
     void setPools(std::unordered_set<PoolName> pools);
-    //! Removes a server. Does nothing if there is no server of this name.
-    void remove(const BackendServerName &name);
+    //! Removes a server, whose entry was removed at \a now. Does nothing if there is no server of
+    //! this name.
+    void remove(const BackendServerName &name, Instant now);
+    //! Ends the retention of the servers that were removed kRetentionTime ago, and returns them.
+    std::vector<ServerPointer> expire(Instant now);
 
     //! Returns the servers of a pool in the order of their hashes.
     const std::vector<ServerPointer> &pool(const PoolName &name) const;
     ServerPointer find(const BackendServerName &name) const;
     ServerPointer find(ServerHash hash) const;
+    //! Returns the registered server, or the last one that was removed and is still retained.
+    ServerPointer findRetained(ServerHash hash) const;
     std::size_t size() const { return servers_.size(); }
     template<typename Function>
     void forEach(Function &&function) const
@@ -178,6 +190,17 @@
     }
 
 private:
+    //! A server without an entry.
+    struct RemovedServer
+    {
+        ServerPointer server;
+        Instant at;
+    };
+
+    //! Returns the server that \a entry describes, if it was removed and is retained; it is no
+    //! longer retained then.
+    ServerPointer takeRemoved(const ServerEntry &entry);
+    void link(const ServerPointer &server);
     void unlink(const ServerPointer &server);
     //! Decides which of the servers at \a address are superseded, from their entries alone.
     //! Precondition: there is one.
@@ -187,6 +210,7 @@
 
     std::optional<std::unordered_set<PoolName>> named_; //!< See setPools().
     std::unordered_map<BackendServerName, ServerPointer> servers_;
+    std::unordered_map<BackendServerName, RemovedServer> removed_;
     std::unordered_map<ServerHash, ServerPointer> hashes_;
     std::unordered_map<PoolName, std::vector<ServerPointer>> pools_;
     std::unordered_map<SocketAddress, std::vector<ServerPointer>> byAddress_;
--- a/tests/gateway/placement/testserverselector.cpp
+++ b/tests/gateway/placement/testserverselector.cpp
@@ -168,8 +168,8 @@
     }
     WHEN("the entries of all engines were removed")
     {
-        engines.directory.remove(first);
-        engines.directory.remove(second);
+        engines.directory.remove(first, engines.now);
+        engines.directory.remove(second, engines.now);
         REQUIRE_FALSE(engines.choose(chat).server);
     }
 }
@@ -248,7 +248,7 @@
         }
         AND_WHEN("the successor is removed first")
         {
-            engines.directory.remove(entry.name);
+            engines.directory.remove(entry.name, engines.now);
             THEN("the old name is usable again")
             {
                 REQUIRE(old->isUsable());
@@ -261,7 +261,7 @@
     {
         engines.directory.update(entry, engines.now);
         const auto oldEntry = old->entry;
-        engines.directory.remove(oldEntry.name);
+        engines.directory.remove(oldEntry.name, engines.now);
         engines.directory.update(oldEntry, engines.now);
         REQUIRE_FALSE(engines.directory.find(oldEntry.name)->isUsable());
         REQUIRE(engines.place(chat) == "engine-0b");
--- a/tests/gateway/replay/replay.cpp
+++ b/tests/gateway/replay/replay.cpp
@@ -182,7 +182,7 @@
             }
             if (isAt(crash + pattern_.lapseAfter)) {
                 for (const auto &router : routers_)
-                    router->directory.remove(nameOf(engine, 0));
+                    router->directory.remove(nameOf(engine, 0), now_);
             }
         }
     }
--- a/tests/gateway/scaling/fakeplatform.h
+++ b/tests/gateway/scaling/fakeplatform.h
@@ -57,7 +57,7 @@
         now_ = now;
         std::erase_if(servers_, [&](const auto &server) {
             if (server.goneAt && *server.goneAt <= now)
-                directory.remove(server.entry.name);
+                directory.remove(server.entry.name, now);
             return server.goneAt && *server.goneAt <= now;
         });
         publish();
--- a/tests/platform/storereader.cpp
+++ b/tests/platform/storereader.cpp
@@ -33,7 +33,7 @@
       items_({ formats_, context.log, routers_, crashRecords_, partRecords_,
                [this](const std::string &text) { configuration_ = text; },
                [this](const ServerEntry &entry) { servers_.update(entry, monotonicNow()); },
-               [this](const BackendServerName &name) { servers_.remove(name); } }),
+               [this](const BackendServerName &name) { servers_.remove(name, monotonicNow()); } }),
       mirror_(hasSameUse_,
               [this](const StoreChange &change) { items_.apply(change, mirror_, now_); })
 {
--- a/tests/platform/testforwarding.cpp
+++ b/tests/platform/testforwarding.cpp
@@ -420,6 +420,16 @@
                 REQUIRE(ask("200"));
             REQUIRE(first.requests.size() == 1);
         }
+        // Guards against requests to a leaving server whose entry is removed and written again.
+        THEN("it receives none after its entry was removed and is back")
+        {
+            deployment.store.erase("servers/first");
+            deployment.settle();
+            deployment.registerServer(first);
+            deployment.settle();
+            REQUIRE(ask("503"));
+            REQUIRE(first.requests.size() == 1);
+        }
         THEN("it receives requests again after a restart under the same name")
         {
             first.handler = nullptr;
@@ -448,6 +458,16 @@
             REQUIRE(at != std::string::npos);
             REQUIRE(std::stod(client.received().substr(at + 13)) > 0.6);
         }
+        // Guards against a pause that ends early because the server's entry goes and comes back.
+        THEN("the time goes on while its entry is removed and written again")
+        {
+            deployment.store.erase("servers/first");
+            deployment.settle();
+            deployment.registerServer(first);
+            deployment.settle();
+            REQUIRE(ask("503"));
+            REQUIRE(first.requests.size() == 1);
+        }
         // Guards against sending requests to a server while it is out of capacity.
         THEN("it receives requests again only after the time in Retry-After")
         {
