StoreMirror: Do not apply writes of servers that are carried out late

Cause: the copy of the store ordered the values of an entry by the store's revision alone. A write that is carried out late has the newest revision and the oldest content; it would also replace "draining" by "ready".

Change: NewestWrites keeps the number (start, sequence) of the newest write of each entry, for 30 s and beyond the entry's removal. A write with a lower number is neither applied nor passed on, whichever router it comes from. With a removal, routers that are not told of heartbeats get the last one, as a change that earlier versions can read.

Log and metrics: server_entry_outdated, crocusport_outdated_entries, and the sequence in server_changed, which was missing to tell the causes apart.

--- a/include/crocusport/gateway/serverentry.h
+++ b/include/crocusport/gateway/serverentry.h
@@ -5,11 +5,21 @@
 #include "crocusport/state/identifiers.h"
 #include "crocusport/state/instant.h"
 
+#include <compare>
 #include <cstdint>
 #include <tuple>
 
 namespace crocusport {
 
+//! The position of an entry among all that one backend server has written, over its starts.
+struct WriteNumber
+{
+    StartNumber start;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const WriteNumber &) const = default;
+};
+
 //! The entry with which a backend server registers in the store.
 struct ServerEntry
 {
@@ -24,6 +34,8 @@
     std::uint64_t sequence = 0;    //!< Increases with each entry that one start writes.
     bool isSpot = false;           //!< The platform may take the server away at short notice.
 
+    WriteNumber writeNumber() const { return { start, sequence }; }
+
     //! Whether the entry equals \a other, an entry of the same name, in all fields except
     //! coldRemaining and sequence.
     bool hasSameUse(const ServerEntry &other) const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -265,10 +265,12 @@
     StoreFeed::Options options { settings_.store, planLimits() };
     feed_ = std::make_unique<StoreFeed>(
         loop_, storeClient_, routerClient_, formats_, exchange_->routers(), options,
-        StoreMirror(StoredItems::sameUse(formats_),
-                    [this](const StoreChange &change) {
-                        storedItems_->apply(change, feed_->mirror(), uptime());
-                    }),
+        StoreMirror(
+            StoredItems::rules(formats_),
+            [this](const StoreChange &change) {
+                storedItems_->apply(change, feed_->mirror(), uptime());
+            },
+            [this](const StoreChange &change) { storedItems_->noteOutdated(change); }),
         [this](const std::string &fault) {
             log_.write(LogLine(fault.empty() ? "store_regained" : "store_lost")
                            .add("reason", fault)
@@ -473,7 +475,8 @@
     line.add("server", entry.name.value())
         .add("address", entry.address.value())
         .add("usable", after->isUsable())
-        .add("start", entry.start.value());
+        .add("start", entry.start.value())
+        .add("sequence", entry.sequence);
     if (!after->isUsable())
         describeLastPlacement(line, *after);
     log_.write(line.text());
@@ -740,6 +743,9 @@
     metrics_.setGauge("crocusport_held_removals",
                       "Backend servers that are used although their entries were removed.",
                       static_cast<double>(storedItems_->heldRemovals()));
+    metrics_.setGauge("crocusport_outdated_entries",
+                      "Entries of backend servers not applied because a later one was read before.",
+                      static_cast<double>(storedItems_->outdatedWrites()));
     metrics_.setGauge("crocusport_store_revision", "Revision up to which the store was read.",
                       static_cast<double>(feed_->mirror().revision()));
     metrics_.setGauge("crocusport_store_relevant_revision",
--- a/src/gateway/storeditems.cpp
+++ b/src/gateway/storeditems.cpp
@@ -22,9 +22,11 @@
 
 } // namespace
 
-StoreMirror::SameUse StoredItems::sameUse(const FormatTable &formats)
+StoreMirror::ItemRules StoredItems::rules(const FormatTable &formats)
 {
-    return [&formats](const std::string &key, const std::string &before, const std::string &after) {
+    StoreMirror::ItemRules rules;
+    rules.hasSameUse = [&formats](const std::string &key, const std::string &before,
+                                  const std::string &after) {
         if (before == after)
             return true;
         const auto server = formats.serverNameOfKey(key);
@@ -34,6 +36,31 @@
         const auto current = readableEntry(formats, *server, after);
         return old && current ? old->hasSameUse(*current) : old.has_value() == current.has_value();
     };
+    rules.numberOf = [&formats](const std::string &key,
+                                const std::string &value) -> std::optional<WriteNumber> {
+        const auto server = formats.serverNameOfKey(key);
+        const auto entry =
+            server ? readableEntry(formats, *server, value) : std::optional<ServerEntry>();
+        return entry ? std::optional(entry->writeNumber()) : std::nullopt;
+    };
+    return rules;
+}
+
+void StoredItems::noteOutdated(const StoreChange &change)
+{
+    ++outdatedWrites_;
+    const auto server = parts_.formats.serverNameOfKey(change.key);
+    const auto entry = server && change.value
+        ? readableEntry(parts_.formats, *server, *change.value)
+        : std::optional<ServerEntry>();
+    if (!entry)
+        return;
+    parts_.log.write(LogLine("server_entry_outdated")
+                         .add("server", server->value())
+                         .add("revision", change.revision)
+                         .add("start", entry->start.value())
+                         .add("sequence", entry->sequence)
+                         .text());
 }
 
 void StoredItems::apply(const StoreChange &change, const StoreMirror &mirror, Duration now)
--- a/src/gateway/storeditems.h
+++ b/src/gateway/storeditems.h
@@ -9,6 +9,7 @@
 
 #include "crocusport/transport/logwriter.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -53,10 +54,14 @@
 
     explicit StoredItems(Parts parts) : parts_(std::move(parts)) { }
 
-    //! Returns the function that tells heartbeats from changes, for the copy. It uses only
-    //! \a formats, which must outlive the function.
-    static StoreMirror::SameUse sameUse(const FormatTable &formats);
+    //! Returns what the copy needs to know of the items. It uses only \a formats, which must
+    //! outlive it.
+    static StoreMirror::ItemRules rules(const FormatTable &formats);
 
+    //! Reports a write that \a mirror has not applied because it is outdated.
+    void noteOutdated(const StoreChange &change);
+    //! Outdated writes since the start.
+    std::uint64_t outdatedWrites() const { return outdatedWrites_; }
     //! Applies a change that \a mirror has just made.
     void apply(const StoreChange &change, const StoreMirror &mirror, Duration now);
     //! Carries out the removals that need no longer be held back. Call it several times a second.
@@ -73,6 +78,7 @@
     void applyRouter(const StoreChange &change, Duration now);
 
     Parts parts_;
+    std::uint64_t outdatedWrites_ = 0;
     std::map<BackendServerName, Duration> heldRemovals_; //!< With the times of the removals.
 };
 
--- a/src/gateway/storefeed.cpp
+++ b/src/gateway/storefeed.cpp
@@ -225,7 +225,7 @@
         scheduleQuery();
         return;
     }
-    mirror_.addListed(page);
+    mirror_.addListed(page, sentAt_);
     if (!page.changes.empty())
         listedAfter_ = page.changes.back().key;
     if (!page.hasMore || page.changes.empty()) {
--- a/src/gateway/storemirror.cpp
+++ b/src/gateway/storemirror.cpp
@@ -83,29 +83,51 @@
 
 // What other copies need is decided from the items alone. A listing reads items that were written
 // after its revision, so this copy may be ahead of a change that copies behind it still need.
-bool StoreMirror::apply(const StoreChange &change)
+bool StoreMirror::apply(const StoreChange &change, Duration at)
 {
     const auto known = items_.find(change.key);
-    if (known == items_.end()) {
-        if (!change.value)
-            return true;
-        items_[change.key] = { *change.value, change.revision };
-    } else if (!change.value) {
-        if (change.revision < known->second.revision)
+    if (!change.value) {
+        if (known == items_.end() || change.revision < known->second.revision)
             return true;
         items_.erase(known);
-    } else {
-        if (change.revision <= known->second.revision)
-            return true;
-        const bool isHeartbeat = hasSameUse_(change.key, known->second.value, *change.value);
-        known->second = { *change.value, change.revision };
-        if (isHeartbeat)
+        onChange_(change);
+        return true;
+    }
+    if (known != items_.end() && change.revision <= known->second.revision)
+        return true;
+    if (const auto write = rules_.numberOf(change.key, *change.value)) {
+        if (newest_.isOutdated(change.key, *write, at)) {
+            if (known != items_.end())
+                known->second.revision = change.revision;
+            onOutdated_(change);
             return false;
+        }
+        newest_.note(change.key, *write, at);
     }
+    const bool isHeartbeat =
+        known != items_.end() && rules_.hasSameUse(change.key, known->second.value, *change.value);
+    items_[change.key] = { *change.value, change.revision, isHeartbeat };
+    if (isHeartbeat)
+        return false;
     onChange_(change);
     return true;
 }
 
+// Copies that are not told of heartbeats need the last one when the item is removed, so that they
+// recognise the writes before it, too.
+void StoreMirror::applyWatched(const StoreChange &change, Duration at)
+{
+    const auto known = items_.find(change.key);
+    const auto last = !change.value && known != items_.end() && known->second.isHeartbeat
+        ? std::optional(known->second.value)
+        : std::nullopt;
+    if (!apply(change, at))
+        return;
+    if (last && !items_.contains(change.key))
+        note({ change.key, last, change.revision });
+    note(change);
+}
+
 void StoreMirror::note(const StoreChange &change)
 {
     relevant_ = std::max(relevant_, change.revision);
@@ -127,7 +149,7 @@
 }
 
 void StoreMirror::removeMissing(const std::unordered_set<std::string> &present,
-                                StoreRevision revision)
+                                StoreRevision revision, Duration at)
 {
     std::vector<std::string> missing;
     for (const auto &[key, item] : items_) {
@@ -135,7 +157,7 @@
             missing.push_back(key);
     }
     for (const auto &key : missing)
-        apply({ key, std::nullopt, revision });
+        apply({ key, std::nullopt, revision }, at);
 }
 
 void StoreMirror::beginListing()
@@ -144,12 +166,12 @@
     listRevision_.reset();
 }
 
-void StoreMirror::addListed(const StorePage &page)
+void StoreMirror::addListed(const StorePage &page, Duration askedAt)
 {
     if (!listRevision_)
         listRevision_ = page.revision;
     for (const auto &change : page.changes) {
-        apply(change);
+        apply(change, askedAt);
         listed_.insert(change.key);
     }
 }
@@ -158,7 +180,7 @@
 void StoreMirror::finishListing(Duration askedAt)
 {
     noteConfirmation(askedAt, false);
-    removeMissing(listed_, *listRevision_);
+    removeMissing(listed_, *listRevision_, askedAt);
     revision_ = std::max(revision_, *listRevision_);
     relevant_ = std::max(relevant_, *listRevision_);
     restartLog(revision_);
@@ -169,10 +191,9 @@
 void StoreMirror::addWatched(const StorePage &page, Duration askedAt)
 {
     noteConfirmation(askedAt, false);
-    for (const auto &change : page.changes) {
-        if (apply(change))
-            note(change);
-    }
+    for (const auto &change : page.changes)
+        applyWatched(change, askedAt);
+    newest_.expire(askedAt);
     revision_ = std::max(revision_, page.revision);
     freshAt_ = std::max(freshAt_.value_or(askedAt), askedAt);
 }
@@ -186,10 +207,10 @@
             return;
         std::unordered_set<std::string> present;
         for (const auto &change : heard.changes) {
-            apply(change);
+            apply(change, at);
             present.insert(change.key);
         }
-        removeMissing(present, heard.revision);
+        removeMissing(present, heard.revision, at);
         restartLog(heard.revision);
         isComplete_ = true;
     } else if (!isComplete_) {
@@ -199,10 +220,11 @@
         for (const auto &change : heard.changes) {
             if (change.revision <= revision_)
                 continue;
-            apply(change);
+            apply(change, at);
             note(change);
         }
     }
+    newest_.expire(at);
     revision_ = std::max(revision_, heard.revision);
     relevant_ = std::max(relevant_, heard.relevant);
     freshAt_ = std::max(freshAt_.value_or(at), at);
--- a/src/gateway/storemirror.h
+++ b/src/gateway/storemirror.h
@@ -1,6 +1,7 @@
 #ifndef CROCUSPORT_STOREMIRROR_H
 #define CROCUSPORT_STOREMIRROR_H
 
+#include "newestwrites.h"
 #include "storeoutages.h"
 
 #include "crocusport/gateway/wiremessages.h"
@@ -61,11 +62,26 @@
     */
     using SameUse = std::function<bool(const std::string &key, const std::string &before,
                                        const std::string &after)>;
-    //! Handles a change of this copy other than a heartbeat.
+    /*!
+        Returns the number that the writer of the item \a key has given to the write of \a value, or
+        nothing if it numbers none. A value is never replaced by one of a lower number, which the
+        store has carried out late.
+    */
+    using NumberOfWrite =
+        std::function<std::optional<WriteNumber>(const std::string &key, const std::string &value)>;
+    //! What the copy needs to know of the items.
+    struct ItemRules
+    {
+        SameUse hasSameUse;
+        NumberOfWrite numberOf;
+    };
+    //! Handles a change of this copy other than a heartbeat, or one that was not applied.
     using ChangeHandler = std::function<void(const StoreChange &change)>;
 
-    StoreMirror(SameUse hasSameUse, ChangeHandler onChange)
-        : hasSameUse_(std::move(hasSameUse)), onChange_(std::move(onChange))
+    //! \a onOutdated is called for each change that is not applied because of its number.
+    StoreMirror(ItemRules rules, ChangeHandler onChange, ChangeHandler onOutdated)
+        : rules_(std::move(rules)), onChange_(std::move(onChange)),
+          onOutdated_(std::move(onOutdated))
     { }
 
     //! Whether all items have been read once.
@@ -83,8 +99,8 @@
     StoreOutages &outages() { return outages_; }
     //! Starts a listing and drops the state of an unfinished one.
     void beginListing();
-    //! Applies a page of a listing.
-    void addListed(const StorePage &page);
+    //! Applies a page of a listing that was requested at \a askedAt.
+    void addListed(const StorePage &page, Duration askedAt);
     /*!
         Completes a listing, whose last page was requested at \a askedAt. The pages of a listing are
         no consistent snapshot, so a watch must follow to read the changes since the first page.
@@ -103,20 +119,27 @@
     {
         std::string value;
         StoreRevision revision = 0;
+        bool isHeartbeat = false; //!< Other copies have not been told of the value.
     };
 
     //! Records that the store is known to have answered a call that was sent at \a at.
     void noteConfirmation(Duration at, bool isFromRouter);
-    //! Applies a change that may be older than the copy. Returns whether other copies may need it:
-    //! all changes but heartbeats.
-    bool apply(const StoreChange &change);
+    //! Applies a change that was read at \a at and may be older than the copy. Returns whether
+    //! other copies may need it: all changes but heartbeats and outdated writes.
+    bool apply(const StoreChange &change, Duration at);
+    //! Adds a change to the log.
     void note(const StoreChange &change);
-    void removeMissing(const std::unordered_set<std::string> &present, StoreRevision revision);
+    //! Applies a change of a watch and adds to the log what other copies may need.
+    void applyWatched(const StoreChange &change, Duration at);
+    void removeMissing(const std::unordered_set<std::string> &present, StoreRevision revision,
+                       Duration at);
     //! Empties the change log; it contains the changes after \a revision from now on.
     void restartLog(StoreRevision revision);
 
-    SameUse hasSameUse_;
+    ItemRules rules_;
     ChangeHandler onChange_;
+    ChangeHandler onOutdated_;
+    NewestWrites newest_;
     std::unordered_map<std::string, Item> items_;
     std::deque<StoreChange> log_; //!< Relevant changes after logStart_.
     std::size_t logBytes_ = 0;
