ClientConnection: Reject statuses that are none and unfinished uploads

Statuses: a response whose status was 000 to 099 counted as an interim one, so that what followed on the connection became the answer: a caller got the 200 that came after a 000. So did 101, which no call asks for. Now only 100 and 102 to 199 are interim, and the call ends as malformed; callers of the gateway get 502. One digit, six digits, signs and blanks were rejected before.

Uploads: a reset never completed a response without a length, wherever in the upload it came. One case did: a server that ended its direction before it had read the request, by a reset behind it or not. Such a response is now complete only if the whole request was written. A response of crocusportd without a length is never complete.

--- a/include/crocusport/transport/httpclient.h
+++ b/include/crocusport/transport/httpclient.h
@@ -50,8 +50,9 @@
     std::size_t maxResponseBytes = 64UL * 1024 * 1024; //!< Limit of the whole body.
     /*!
         Whether a body with neither Content-Length nor chunks is complete when the server closes the
-        connection without a reset. The connection of a server that crashes can close in the same
-        way, so such a body may be truncated (RFC 9112 section 8).
+        connection without a reset after it was sent the whole request. The connection of a server
+        that crashes can close in the same way, so such a body may be truncated (RFC 9112 section
+        8).
     */
     bool acceptsCloseDelimited = false;
 };
--- a/src/transport/clientconnection.cpp
+++ b/src/transport/clientconnection.cpp
@@ -40,11 +40,20 @@
 // Safety margin below the idle timeout that a server announces. The server starts counting when it
 // sends its response, which is earlier than the client receives it.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(250);
-constexpr int kOk = 200;
+constexpr unsigned kOk = 200;
 constexpr int kMaxStatus = 599;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+//! Whether another response follows one of this status (RFC 9110 section 15.2). No call asks to
+//! switch protocols, so a response that does is invalid.
+bool isInterim(unsigned status)
+{
+    constexpr unsigned kContinue = 100;
+    constexpr unsigned kSwitchingProtocols = 101;
+    return status >= kContinue && status < kOk && status != kSwitchingProtocols;
+}
+
 } // namespace
 
 Result<std::unique_ptr<ClientConnection>>
@@ -249,9 +258,8 @@
             return false;
         }
         if (!hadHead && parser_->is_header_done()) {
-            if (parser_->get().result_int() < kOk) {
-                // An interim response (RFC 9110 section 15.2).
-                if (++interimResponses_ > kMaxInterimResponses) {
+            if (const auto status = parser_->get().result_int(); status < kOk) {
+                if (!isInterim(status) || ++interimResponses_ > kMaxInterimResponses) {
                     call.end(HttpFailure::Malformed);
                     return false;
                 }
@@ -374,7 +382,11 @@
     }
     if (call->isEnded())
         return;
-    if (isOrderly && parser_ && parser_->is_header_done() && parser_->need_eof()) {
+    // A server that closes while the request is being written has given up. Its reset may follow
+    // the end of its direction, and is not seen then.
+    const bool isRequestWritten = evbuffer_get_length(bufferevent_get_output(bufferevent_)) == 0;
+    if (isOrderly && isRequestWritten && parser_ && parser_->is_header_done()
+        && parser_->need_eof()) {
         boost::beast::error_code error;
         parser_->put_eof(error);
         if (!error) {
