--- a/tests/gateway/testroutingtable.cpp
+++ b/tests/gateway/testroutingtable.cpp
@@ -72,9 +72,9 @@
     RoutingConfiguration configuration;
     configuration.routes = { route("a", "/keyed/"), route("a", "/open/") };
     configuration.routes[1].allowsAnonymous = true;
-    const auto isAllowed = [&](const char *path, std::optional<std::string> key) {
+    const auto isAllowed = [&](const char *path, const std::optional<std::string> &key) {
         const RoutingTable table(configuration);
-        return table.access(*table.findRoute("a", path), std::move(key)).isAllowed;
+        return table.access(*table.findRoute("a", path), key).isAllowed;
     };
 
     WHEN("it has no list of teams")
--- a/tests/transport/uploadcutter.cpp
+++ b/tests/transport/uploadcutter.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
 #include <utility>
 
 namespace crocusport {
@@ -27,9 +28,9 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto *const raw = reinterpret_cast<sockaddr *>(&address);
     socklen_t size = sizeof(address);
-    bind(listener_, raw, size);
-    listen(listener_, kBacklog);
-    getsockname(listener_, raw, &size);
+    if (listener_ < 0 || bind(listener_, raw, size) != 0 || listen(listener_, kBacklog) != 0
+        || getsockname(listener_, raw, &size) != 0)
+        throw std::runtime_error("cannot listen on the loopback address");
     address_ = SocketAddress("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
     thread_ = std::thread([this] { run(); });
 }
