--- a/review/standins-3/common.cc
+++ b/review/standins-3/common.cc
@@ -59,7 +59,12 @@
 class Record
 {
 public:
-    void open(const std::string &path) { file_.open(path, std::ios::trunc); }
+    //! Goes on in the file, which the script has begun. Returns whether that is possible.
+    bool open(const std::string &path)
+    {
+        file_.open(path, std::ios::app);
+        return file_.is_open();
+    }
     void line(const std::string &text)
     {
         const std::lock_guard lock(mutex_);
@@ -884,13 +889,14 @@
     return !value || std::string(value) != "0";
 }
 
-//! Opens the record; the arguments are the folder of the case and a temporary folder.
+//! Opens the record; the arguments are the file of the record and a temporary folder.
 inline std::string begin(int argc, char **argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    if (argc < 3)
+    if (argc < 3 || !record().open(argv[1])) {
+        std::cerr << "the record cannot be written\n";
         std::exit(kCouldNotRun);
-    record().open(std::string(argv[1]) + "/record.txt");
+    }
     NOTE("disruption: %s", isTrouble() ? "yes" : "no (TROUBLE=0)");
     return argv[2];
 }
